Let admission fill from the worthiest class, so that a fleet comes back from a bad while

Ruled out: the walls (Held stops growing at 10 s), discovery (the list is whole again by 16 s), server faults (0.1% time out in the last ten seconds).

Cause: policy.go, admit. One sidecar among few has enough answers to leave that point by chance; 80 with few requests do not.

Design: the room, as before a little more than what was answered in time, goes to the worthiest class first and what is left to the next. Counts are per class, over 1.25 aims in place of a fixed 2 s, as aims scale.

--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -161,3 +161,10 @@
 func end(b *Balancer, now time.Duration, id RequestID, attempt int, e Ending) {
 	b.Outcome(now, Outcome{ID: id, Attempt: attempt, Ending: e, Settled: e == Served})
 }
+
+// forgetAsked has admission begin anew, where a test is not about it.
+func forgetAsked(b *Balancer) {
+	for i := range b.classes {
+		b.classes[i].asked = recent{}
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -32,7 +32,7 @@
 	partRoom   = 2.0                   // it is full at its part of all balancers' requests and so many more
 	admitMost  = 1.5                   // lets in this multiple of what was lately answered in time
 	admitFree  = 1.5                   // and this many requests, or a light balancer refuses after one failure
-	admitOver  = 2 * time.Second       // lately: about as long as queues take to build up
+	admitOver  = 1.25                  // aims that lately lasts: nearly all that is answered in time falls in it
 	wholeLater = 1.7                   // the wall over all attempts begins at this multiple of a server's
 	farTurns   = 0.25                  // other zones' servers have this share of turns, if crossing is priced
 	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
@@ -133,7 +133,7 @@
 		b.cut()
 	}
 	if !b.admit(now, r) {
-		b.asked.all++
+		r.class.asked.all++
 		b.count.Throttled++
 		b.finish(r)
 		return
@@ -144,12 +144,26 @@
 // admit says whether a request may try for a slot. Walls bound each balancer alone; where a thousand
 // of few requests each find the fleet short of what they ask, the slots of all are more than it can
 // serve in time, and its work goes into answers that come late (i47e131, i50e019). Each then lets in
-// little more than what it was lately answered in time, of worthier classes more.
+// little more than what was lately answered in time: the worthiest classes first, and what is left of
+// that for the next. So whatever is let in and answered widens the room, and classes that were shut
+// out come back by themselves once servers can bear them, however often their clients ask meanwhile.
 func (b *Balancer) admit(now time.Duration, r *request) bool {
-	fade := math.Exp(-float64(now-b.asked.at) / float64(admitOver))
-	b.asked.at, b.asked.all, b.asked.good = now, b.asked.all*fade, b.asked.good*fade
-	share := (admitFree + admitMost*b.asked.good) / (admitFree + b.asked.all)
-	return share >= 1 || b.rng.Float64() < math.Pow(share, b.worth/max(r.class.Worth, b.worth/8))
+	fade := math.Exp(-(now - b.fadeAt).Seconds() / (admitOver * b.aim))
+	b.fadeAt = now
+	left, same := admitFree, 0.0
+	for i := range b.classes {
+		c := &b.classes[i]
+		c.asked.all, c.asked.good = c.asked.all*fade, c.asked.good*fade
+		left += admitMost * c.asked.good
+		switch {
+		case c.Worth > r.class.Worth:
+			left -= c.asked.all
+		case c.Worth == r.class.Worth:
+			same += c.asked.all
+		}
+	}
+	share := left / (same + 1) // with this one
+	return share >= 1 || b.rng.Float64() < share
 }
 
 // place sends a request, or lets it wait, or refuses it.
@@ -189,10 +203,10 @@
 	}
 	b.hold(r, a.to, -1)
 	if !r.over && o.Ending != NotSent {
-		b.asked.all++
+		r.class.asked.all++
 	}
 	if !r.over && o.Ending == Served && now <= r.wanted {
-		b.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
+		r.class.asked.good += min(1, 2*float64(r.wanted-now)/float64(r.class.Aim))
 	}
 	if r.line != nil && (o.Ending == TimedOut || o.Ending == Broken || o.Ending == Cancelled) {
 		r.line.restEnd = max(r.line.restEnd, now+b.cfg.OrderSettle)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -267,7 +267,7 @@
 	if _, refused := h.refused[1]; len(h.sends) != 1 || !refused {
 		t.Fatalf("sends %d, refused %v; want 1 and a refusal, as all servers drop repeats", len(h.sends), refused)
 	}
-	b.asked = recent{}
+	forgetAsked(b)
 	ask(b, 800*ms, 2, keyedZone)
 	end(b, 1500*ms, 2, 0, Errored)
 	if !h.failed[2] {
@@ -924,7 +924,7 @@
 	b, h := start(t, cfg, ready(1, 2, 3))
 	try := func(now time.Duration, id RequestID, class int) int {
 		n := len(h.sends)
-		b.asked = recent{}
+		forgetAsked(b)
 		ask(b, now, id, class)
 		end(b, now, id, 0, TurnedAway)
 		if len(h.sends) > n+1 {
@@ -999,7 +999,7 @@
 			for range n {
 				now += 50 * ms
 				id++
-				b.asked = recent{} // admission is not at stake here
+				forgetAsked(b) // admission is not at stake here
 				ask(b, now, id, unsafeClass)
 				for k := len(h.sends); k > 0 && h.sends[k-1].id == id; k = len(h.sends) {
 					n := len(b.requests[id].attempts)
@@ -1065,10 +1065,9 @@
 	cfg.Classes = cfg.Classes[:2]
 	cfg.Classes[0].Worth, cfg.Classes[1].Worth = 1, 4
 	b, _ := start(t, cfg, ready(1, 2))
-	b.asked = recent{all: 40, good: 10}
 	var let [2]int
 	for i := range 2000 {
-		b.asked = recent{all: 40, good: 10}
+		b.classes[0].asked, b.classes[1].asked = recent{all: 20, good: 8}, recent{all: 20, good: 8}
 		if b.admit(0, &request{class: &b.classes[i%2]}) {
 			let[i%2]++
 		}
@@ -1078,6 +1077,45 @@
 	}
 }
 
+// Guards against admission that locks itself in: after a bad while the worthy class alone fits into what
+// was answered of late, the others' clients ask again at once, and their counting as shut out kept them out.
+func TestAdmissionComesBackAfterABadWhile(t *testing.T) {
+	cfg := testConfig()
+	cfg.Balancers, cfg.Slots, cfg.MaxAttempts = 1, 100, 1
+	cfg.Classes = cfg.Classes[:2]
+	cfg.Classes[0].Worth, cfg.Classes[1].Worth = 1, 8
+	b, h := start(t, cfg, ready(1, 2, 3, 4, 5, 6, 7, 8))
+	const step, bad, well, until = 25 * ms, 5 * time.Second, 17 * time.Second, 20 * time.Second
+	id := RequestID(0)
+	let := func(now time.Duration, class int) bool {
+		id++
+		n := len(h.sends)
+		ask(b, now, id, class)
+		if len(h.sends) == n {
+			return false
+		}
+		end(b, now+10*ms, id, 0, map[bool]Ending{true: Errored, false: Served}[now < bad])
+		return true
+	}
+	lately, shut := 0, 0
+	for now := time.Duration(0); now < until; now += step {
+		class := 0
+		if now/step%3 == 0 { // a third is worthy
+			class = 1
+		}
+		in := let(now, class) || let(now, class) || let(now, class) // clients ask again at once
+		if now >= well {
+			lately++
+			if !in {
+				shut++
+			}
+		}
+	}
+	if lately == 0 || shut*20 > lately {
+		t.Fatalf("%d of %d requests were shut out long after servers were well again", shut, lately)
+	}
+}
+
 // Guards against a zone with more traffic than its own servers can bear; crossing has a price, so near ones lead.
 func TestFarServersHaveFewerTurns(t *testing.T) {
 	cfg := testConfig()
@@ -1124,10 +1162,10 @@
 	b, h := start(t, testConfig(), ready(1))
 	ask(b, 0, 1, unsafeClass)
 	end(b, time.Second, 1, 0, TimedOut)
-	b.asked = recent{}
+	forgetAsked(b)
 	ask(b, 1100*ms, 2, unsafeClass)
 	end(b, 2100*ms, 2, 0, TimedOut)
-	b.asked = recent{}
+	forgetAsked(b)
 	ask(b, 3*time.Second, 3, unsafeClass)
 	end(b, 3100*ms, 3, 0, Served)
 	if b.server(1).warmAt != 3100*ms+8*time.Second || len(h.log) == 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -82,16 +82,14 @@
 	queue               []*request
 }
 
-// recent counts requests, and those answered in time; both fade.
-type recent struct {
-	at        time.Duration
-	all, good float64
-}
+// recent counts requests of a class that tried for a slot, and those answered in time; both fade.
+type recent struct{ all, good float64 }
 
 type class struct {
 	Class
 	pace    time.Duration // usual time of an answer
 	longest time.Duration // the time left that first tries come with: the most seen, followed down
+	asked   recent
 }
 
 // Balancer makes the decisions of one sidecar.
@@ -122,7 +120,7 @@
 	pace     time.Duration // usual time of an answer, over all classes
 	aim      float64       // mean aim, in seconds
 	worth    float64       // mean worth of the classes
-	asked    recent        // requests that tried for a slot
+	fadeAt   time.Duration // when the classes' counts were last faded
 	wakeAt   time.Duration
 	askAt    time.Duration // when to ask for the list next; 0: no need
 	askFails int
