Let sidecars tell one another how crowded servers are, and share the wall by demand

There is room, and each sidecar thinks there is none. Later the busiest sidecars, five times the mean, hold no more than the idle.

Cause: policy.go, judge and dispatch. crowd is what one sidecar saw: with a few answers a second, of work with a long tail, one slow request counts for up to half of it and closes the wall to 1. And the wall is the same for all, whatever each is asked.

Design: once an aim, each tells all others how many of its attempts ended, the mean square of the share of the aim they took, and how many requests a second it is asked: 24 bytes (internal/gossip), over UDP in run (internal/sidecar/peers.go) and Post in sim. policy/peers.go decides what to tell and believe. The wall goes by what all saw over the last aim, and what crowding leaves of all slots is shared by demand, at least one each. News that is malformed, foreign, oversized, stale, out of order or out of range is dropped and counted; without any news a sidecar goes by its own view as before.

Ruled out by a probe in the fleet model: telling how each server fares, too.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -13,6 +13,7 @@
 	"runtime/debug"
 	"time"
 
+	"arrowgw/internal/gossip"
 	"arrowgw/internal/wire"
 	"arrowgw/policy"
 )
@@ -91,6 +92,7 @@
 func (i *instance) Wake(d time.Duration)     { i.host.reply.SetAlarm(i.number, d, 0) }
 func (i *instance) Probe(to policy.ServerID) { i.host.reply.Inspect(i.number, wire.Upstream(to)) }
 func (i *instance) Close(to policy.ServerID) { i.host.reply.Release(i.number, wire.Upstream(to)) }
+func (i *instance) Tell(n policy.News)       { i.host.reply.Post(i.number, gossip.Encode(n)) }
 func (i *instance) WatchList()               { i.host.reply.Tail(i.number, true) }
 func (i *instance) Log(line string)          { i.host.reply.WriteLog(i.number, line) }
 
@@ -123,7 +125,7 @@
 		h.pages[page] = servers(entries)
 		return nil
 	case wire.EvOpenInstance, wire.EvCrashNow, wire.EvFleet, wire.EvAsk, wire.EvFinished, wire.EvWake,
-		wire.EvClientLeft, wire.EvHeaders, wire.EvCheckResult:
+		wire.EvClientLeft, wire.EvHeaders, wire.EvCheckResult, wire.EvHeard:
 	default:
 		return nil // a code of a later version, or one that the module has no use for
 	}
@@ -237,6 +239,14 @@
 			return err
 		}
 		i.b.Probed(now, policy.ServerID(up), end == wire.EndServed, i.loads.Load(report))
+	case wire.EvHeard:
+		by, data, err := rec.Heard()
+		if err != nil {
+			return err
+		}
+		if n, err := gossip.Decode(data); err == nil { // anything else is dropped
+			i.b.Heard(now, int(by), n)
+		}
 	case wire.EvFleet:
 		kind, _, page, err := rec.Fleet()
 		if err != nil {
--- a/cmd/simhost/main_test.go
+++ b/cmd/simhost/main_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"arrowgw/internal/gossip"
 	"arrowgw/internal/wire"
 	"arrowgw/policy"
 )
@@ -209,6 +210,43 @@
 	}
 }
 
+// What one instance tells reaches the module of another; what is no news is dropped, and both go on.
+func TestNewsPassesBetweenInstances(t *testing.T) {
+	told := strings.ReplaceAll(settings, "balancers=1", "balancers=2") + "\ncaps.peers=true"
+	boot := func(i uint32) []byte {
+		return record(wire.EvOpenInstance, i, uint64(5), uint32(len(told)+5), told+"\nme="+string(rune('0'+i)))
+	}
+	in := batch(1, 0, boot(0), boot(1), manifest(0, 7, 8), fleet(0, wire.FleetCached, 0), ask(0, 100))
+	n := uint32(2)
+	for ; n < 60; n++ {
+		in = append(in, batch(n, float64(100*n), record(wire.EvWake, uint32(0), uint64(0)))...)
+	}
+	posts := only(actions(t, in), wire.ActPost, 0)
+	if len(posts) == 0 {
+		t.Fatal("nothing was told")
+	}
+	news := gossip.Encode(policy.News{At: 6 * time.Second, Rate: 5})
+	hear := func(data []byte) []byte {
+		return record(wire.EvHeard, uint32(1), uint32(0), uint16(len(data)), data)
+	}
+	in = append(in, batch(n, 6000, hear(news), hear(news), hear([]byte("no news")))...)
+	h := newHost()
+	r := wire.NewReader(bytes.NewReader(in))
+	for {
+		b, err := r.ReadBatch()
+		if err != nil {
+			break
+		}
+		h.reply.Begin(b.Number)
+		if err := h.batch(b); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if c := h.instances[1].b.Counters(); c.Heard != 1 || c.Unheard != 1 {
+		t.Fatalf("heard %d and dropped %d, want one of each: the second is the same again", c.Heard, c.Unheard)
+	}
+}
+
 func TestUnknownRecordsArePassedOver(t *testing.T) {
 	all := actions(t, batch(1, 0, record(4711, uint32(9), "anything"), open(1, 5), record(wire.EvHeard, uint32(1), uint32(2), uint16(0)),
 		manifest(0, 7), fleet(1, 99, 0), fleet(1, wire.FleetCached, 0), ask(1, 100), ask(44, 100)))
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"math"
 	"net"
+	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -24,6 +25,10 @@
 	Discovery string // address of discovery
 	Seed      uint64
 
+	PeerListen netip.AddrPort         // where other sidecars' datagrams arrive; not valid: nowhere
+	PeersAll   netip.AddrPort         // from where one goes to all of them
+	Peers      map[netip.AddrPort]int // the number of each by the address that it sends from
+
 	MemoryMB int // the process is killed above this; 0: no limit is known
 	Sockets  int // descriptors it may hold
 
@@ -60,6 +65,9 @@
 func parseConfig(raw []byte, env func(string) string) (*Config, error) {
 	var file struct {
 		Name, Listen, Discovery, Seed string
+		PeerListen                    string `json:"peer_listen"`
+		PeersAll                      string `json:"peers_all"`
+		Peers                         []string
 		Limits                        struct {
 			MemoryMB float64 `json:"memory_mb"`
 			Sockets  float64
@@ -108,6 +116,9 @@
 	if err := c.take(s); err != nil {
 		return nil, err
 	}
+	if err := c.takePeers(file.PeerListen, file.PeersAll, file.Peers); err != nil {
+		return nil, err
+	}
 	if len(file.Known) > 0 {
 		if c.Known, err = parseListing(file.Known, c.Zones); err != nil {
 			return nil, fmt.Errorf("config: known: %w", err)
@@ -116,6 +127,30 @@
 	return c, nil
 }
 
+// takePeers reads where the other sidecars are. Without their addresses this one goes by what it sees itself.
+func (c *Config) takePeers(listen, all string, peers []string) error {
+	if !c.Policy.MayTell || listen == "" || all == "" || len(peers) == 0 {
+		c.Policy.MayTell = false
+		return nil
+	}
+	var err error
+	if c.PeerListen, err = netip.ParseAddrPort(listen); err != nil {
+		return fmt.Errorf("config: peer_listen: %w", err)
+	}
+	if c.PeersAll, err = netip.ParseAddrPort(all); err != nil {
+		return fmt.Errorf("config: peers_all: %w", err)
+	}
+	c.Peers = make(map[netip.AddrPort]int, len(peers))
+	for i, peer := range peers {
+		address, err := netip.ParseAddrPort(peer)
+		if err != nil {
+			return fmt.Errorf("config: peers: %w", err)
+		}
+		c.Peers[address] = i
+	}
+	return nil
+}
+
 // take reads the settings: the module's own, and what the sidecar needs besides.
 func (c *Config) take(s *wire.Settings) error {
 	var err error
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"arrowgw/internal/gossip"
 	"arrowgw/policy"
 )
 
@@ -26,6 +27,7 @@
 	b        *policy.Balancer
 	upstream *upstream
 	watch    func() // subscribes to the list
+	peers    *peers // the other sidecars; nil: there is no way to them
 	most     int    // attempts for one request at most
 
 	lastID   atomic.Uint64
@@ -94,7 +96,8 @@
 			l.now = l.clock.now()
 			l.wake()
 		case <-counters.C:
-			slog.Info("counters", "module", fmt.Sprintf("%+v", l.b.Counters()), "upstream", l.upstream.counters())
+			slog.Info("counters", "module", fmt.Sprintf("%+v", l.b.Counters()), "upstream", l.upstream.counters(),
+				"peers", l.peers.counters())
 		case <-ctx.Done():
 			return
 		}
@@ -302,6 +305,14 @@
 	}
 }
 
+// heard takes news of another sidecar.
+func (l *loop) heard(from int, n policy.News) {
+	l.post(func(now time.Duration) { l.b.Heard(now, from, n) })
+}
+
+// Tell sends news to the other sidecars.
+func (l *loop) Tell(n policy.News) { l.peers.tell(gossip.Encode(n)) }
+
 // WatchList subscribes to the server list.
 func (l *loop) WatchList() { l.watch() }
 
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -36,12 +36,18 @@
 	d := newDiscovery(cfg, l.list, l.listFailed)
 	l.watch = d.ask
 	f := newFront(cfg, c, l)
+	p, err := newPeers(cfg)
+	if err != nil { // messages only advise: the service goes on without
+		slog.Error("other sidecars can't be heard", "error", err)
+	}
+	l.peers = p
 	slog.Info("serving", "name", cfg.Name, "listen", listener.Addr(), "servers", len(cfg.Known.servers))
 
 	running, stop := context.WithCancel(context.Background())
 	defer stop()
 	go l.run(running, cfg.Known)
 	go d.run(running)
+	go p.run(running, l.heard)
 	f.ready.Store(true)
 	accepted := newAcceptor(listener, cfg.clientConns())
 	server := f.server(accepted)
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -179,6 +179,7 @@
 		MaxAttempts:    s.count("caps.most_tries"),
 		MayCancel:      s.flag("caps.may_cancel"),
 		MayProbe:       s.flag("caps.probes") && s.text("telemetry.how") != "silent",
+		MayTell:        s.flag("caps.peers"),
 		MaxRetryAfter:  Millis(s.number("caps.max_retry_after_ms", 0)),
 		MarksRepeat:    s.flag("client_habits.marks_retry"),
 		OrderSettle:    Millis(s.number("rules.order_settle_ms", 0)),
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -35,6 +35,7 @@
 	ActSetAlarm = 1040
 	ActInspect  = 1050
 	ActRelease  = 1060
+	ActPost     = 1070
 	ActWriteLog = 1080
 	ActDie      = 1090
 	ActTail     = 1100
@@ -394,6 +395,15 @@
 	return v, c.done(r.Code)
 }
 
+// Heard reads a message of another instance; data is only valid as long as the batch.
+func (r Record) Heard() (by uint32, data []byte, err error) {
+	c := cursor{b: r.Fields}
+	c.u32()
+	by = c.u32()
+	data = c.take(int(c.u16()))
+	return by, data, c.done(r.Code)
+}
+
 // Reply gathers the actions that answer one batch.
 type Reply struct {
 	buf   []byte
@@ -496,6 +506,14 @@
 	p.buf = append(p.buf, b)
 }
 
+// Post sends a message to all other instances of the tier.
+func (p *Reply) Post(inst uint32, data []byte) {
+	p.head(ActPost, 8+len(data), inst)
+	p.buf = binary.LittleEndian.AppendUint16(p.buf, math.MaxUint16)
+	p.buf = binary.LittleEndian.AppendUint16(p.buf, uint16(len(data)))
+	p.buf = append(p.buf, data...)
+}
+
 // WriteLog writes a line for the report.
 func (p *Reply) WriteLog(inst uint32, line string) { p.text(ActWriteLog, inst, line) }
 
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -122,7 +122,8 @@
 	p.Inspect(3, to)
 	p.Release(3, to)
 	p.Die(3, "index out of range")
-	want := unhex(t, `0c000000 cf000000 0a000000
+	p.Post(3, []byte("hi 7"))
+	want := unhex(t, `0c000000 e1000000 0b000000
 		e803 16000000 03000000 c4913a5d 0a124a07 931f 0000000000005440
 		1004 14000000 03000000 0000000000407f40 4d00000000000000
 		3804 17000000 03000000 1100 74776f2073657276657273206b6e6f776e
@@ -132,7 +133,8 @@
 		4c04 05000000 03000000 01
 		1a04 0a000000 03000000 0a124a07 931f
 		2404 0a000000 03000000 0a124a07 931f
-		4204 18000000 03000000 1200 696e646578206f7574206f662072616e6765`)
+		4204 18000000 03000000 1200 696e646578206f7574206f662072616e6765
+		2e04 0c000000 03000000 ffff 0400 68692037`)
 	if got := p.Bytes(); !bytes.Equal(got, want) {
 		t.Fatalf("reply\n%x\nwant\n%x", got, want)
 	}
@@ -142,6 +144,20 @@
 	}
 }
 
+func TestReadsAMessage(t *testing.T) {
+	rec, _, err := Next(unhex(t, "1004 0e000000 03000000 02000000 0400 68692037"))
+	if err != nil || rec.Code != EvHeard {
+		t.Fatalf("record %+v, %v", rec, err)
+	}
+	if by, data, err := rec.Heard(); by != 2 || string(data) != "hi 7" || err != nil {
+		t.Fatalf("by %d, %q, %v", by, data, err)
+	}
+	rec.Fields = rec.Fields[:11]
+	if _, _, err := rec.Heard(); err == nil {
+		t.Fatal("a message cut off was read")
+	}
+}
+
 func frame(records, size uint32, clock float64, body string) []byte {
 	b := binary.LittleEndian.AppendUint32(nil, 1)
 	b = binary.LittleEndian.AppendUint32(b, records)
--- a/policy/api.go
+++ b/policy/api.go
@@ -4,12 +4,12 @@
 // A Balancer is single-threaded and deterministic: it has no goroutines, no
 // clock and no I/O. The program that embeds it calls one method per event and
 // passes the time; the Balancer answers through the Host it was given. This
-// file is the interface; every decision is in policy.go.
+// file is the interface; the decisions are in policy.go and peers.go.
 //
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
 // order of calls: New, Start, List with the servers known so far, then Request, Outcome, Wake,
-// List, Probed, ClientGone and StreamBegun as they occur. Each Host.Send brings exactly one Outcome,
+// List, Probed, Heard, ClientGone and StreamBegun as they occur. Each Host.Send brings exactly one Outcome,
 // also after the request has been answered; each Host.Wake one call of Wake, late rather than never.
 // A request is answered once: by an Outcome with Settled set, or by Host.Refuse or Host.Fail.
 //
@@ -86,6 +86,7 @@
 	MaxAttempts   int           // attempts for one request at most
 	MayCancel     bool          // Host.Cancel may be used
 	MayProbe      bool          // Host.Probe may be used
+	MayTell       bool          // Host.Tell may be used
 	MaxRetryAfter time.Duration // the longest pause that clients heed
 	MarksRepeat   bool          // clients mark their own further tries: Request.Repeat
 
@@ -218,6 +219,8 @@
 	Probe(to ServerID)
 	// WatchList subscribes to the server list; Balancer.List brings changes.
 	WatchList()
+	// Tell sends news to all other balancers; it may be lost. Balancer.Heard brings theirs.
+	Tell(n News)
 	// Log writes a line for the people on call.
 	Log(line string)
 }
@@ -232,6 +235,9 @@
 	Retries   uint64 // further attempts after one that failed
 	Late      uint64 // clients' later tries refused as their aim was gone
 	Queued    uint64 // requests that had to wait for a slot or a server
+	Told      uint64 // times that it told the other balancers news
+	Heard     uint64 // news of theirs that it took
+	Unheard   uint64 // and that it dropped: stale, out of order, or such as can't be
 	Refused   uint64
 	Failed    uint64
 }
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -21,6 +21,7 @@
 func (sidecar) Wake(d time.Duration)                    {} // call b.Wake after d
 func (sidecar) Close(to policy.ServerID)                {}
 func (sidecar) Probe(to policy.ServerID)                {}
+func (sidecar) Tell(n policy.News)                      {}
 func (sidecar) WatchList()                              {}
 func (sidecar) Log(line string)                         { fmt.Println(line) }
 
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -77,9 +77,10 @@
 
 type modelSidecar struct {
 	fakeHost
-	f    *fleet
-	b    *Balancer
-	rate float64
+	f     *fleet
+	b     *Balancer
+	rate  float64
+	index int
 }
 
 const (
@@ -97,7 +98,7 @@
 	return Config{
 		Balancers: sidecars, Classes: []Class{class(1, Safe), class(8, Keyed)},
 		Tenants:     []Tenant{{Share: 0.42, Quota: 764}, {Share: 0.33, Quota: 600}, {Share: 0.25, Quota: 455}},
-		MaxAttempts: 6, MayCancel: true, MaxRetryAfter: 2 * time.Second, MarksRepeat: true, Tick: ms,
+		MaxAttempts: 6, MayCancel: true, MayTell: true, MaxRetryAfter: 2 * time.Second, MarksRepeat: true, Tick: ms,
 		AskList: true, AskWithin: 10 * time.Second, ColdFrom: 0.32, ColdTime: 8400 * ms, ColdMultiple: 4, CrossZonePrice: 0.12,
 	}
 }
@@ -113,7 +114,7 @@
 		if change != nil {
 			change(&cfg)
 		}
-		s := &modelSidecar{f: f, fakeHost: *newFakeHost(), rate: math.Exp(f.rng.NormFloat64())}
+		s := &modelSidecar{f: f, fakeHost: *newFakeHost(), rate: math.Exp(f.rng.NormFloat64()), index: i}
 		sum += s.rate
 		var err error
 		if s.b, err = New(cfg, uint64(i), s); err != nil {
@@ -203,6 +204,15 @@
 }
 func (s *modelSidecar) Wake(d time.Duration) { s.f.after(max(d, ms), func() { s.b.Wake(s.f.now) }) }
 
+// Tell reaches each of the others a little later, or not.
+func (s *modelSidecar) Tell(n News) {
+	for _, to := range s.f.sidecars {
+		if to != s && s.f.rng.Float64() < 0.95 {
+			s.f.after(time.Duration(3+s.f.rng.IntN(20))*ms, func() { to.b.Heard(s.f.now, s.index, n) })
+		}
+	}
+}
+
 func (s *modelSidecar) Cancel(id RequestID, n int) {
 	a := s.f.jobs[id].attempts[n]
 	s.f.after(0, func() { s.end(a, Cancelled) })
@@ -292,3 +302,19 @@
 		t.Errorf("%.2f of the worthy and %.2f of the others answered in time, want at least 0.65 and 0.1", much, little)
 	}
 }
+
+// Guards against 80 sidecars that each learn too late, and from chance, how crowded servers are: told by one
+// another they refuse less while there is room, and more of the worthy are answered when there is not.
+func TestFleetThatTellsServesMore(t *testing.T) {
+	good := func(rate float64, tell bool) float64 {
+		f := newFleet(t, 80, 60, rate, func(c *Config) { c.MayTell = tell })
+		f.run(4 * time.Second)
+		f.run(6 * time.Second)
+		return f.good()
+	}
+	for _, rate := range []float64{1600, 2700} {
+		if alone, told := good(rate, false), good(rate, true); told < alone+0.01 {
+			t.Errorf("%v requests a second: %.3f of the worth served where they tell, %.3f where not", rate, told, alone)
+		}
+	}
+}
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -25,6 +25,7 @@
 	probes    []ServerID
 	closes    []ServerID
 	asks      int
+	tells     []News
 	log       []string
 	trace     []string
 }
@@ -77,6 +78,11 @@
 	h.note("watch")
 }
 
+func (h *fakeHost) Tell(n News) {
+	h.tells = append(h.tells, n)
+	h.note("tell %+v", n)
+}
+
 func (h *fakeHost) Log(line string) {
 	h.log = append(h.log, line)
 	h.note("log %s", line)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,6 @@
-// The interface (types, events, actions) is api.go; every decision is here: start, events,
-// compartments, the gate that all sends pass, server choice and health, list, reports, endings.
+// The interface (types, events, actions) is api.go; what balancers tell one another is peers.go; every
+// other decision is here: start, events, compartments, the gate that all sends pass, server choice and
+// health, list, reports, endings.
 
 package policy
 
@@ -52,6 +53,7 @@
 	}
 	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), lines: make(map[uint64]*line)}
 	b.parts = make([]compartment, len(cfg.tenants()))
+	b.news.peers = make([]peer, cfg.Balancers)
 	b.rng = rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
 	for _, c := range cfg.Classes {
@@ -96,6 +98,7 @@
 		b.ask(now)
 	}
 	b.sampleAt = now + time.Duration(b.rng.Int64N(int64(4*toldFor))) // not all balancers at once
+	b.news.tellAt = now + b.aims(tellAims*b.rng.Float64())
 	b.wake(now, idleTick)
 }
 
@@ -174,7 +177,7 @@
 	}
 	if now > r.lateIn() { // late, or as good as: it takes nothing from others
 		r.useful = r.deadline
-		if b.ease(b.crowd) < 1 || !b.dispatch(now, r) {
+		if b.ease(b.crowding(now)) < 1 || !b.dispatch(now, r) {
 			b.count.Late++
 			b.finish(r)
 		}
@@ -274,6 +277,7 @@
 	b.open = slices.DeleteFunc(b.open, func(r *request) bool { return r.over })
 	b.wakeAt = 0
 	b.sample(now)
+	b.tell(now)
 	if len(b.open) > 0 {
 		b.wake(now, busyTick)
 	}
@@ -292,7 +296,7 @@
 		return false
 	}
 	// The wall over all attempts: one each from many balancers is a crowd too. It comes later than servers' own.
-	if float64(b.out) >= max(1, float64(b.slots)*b.ease(b.crowd/wholeLater)) {
+	if float64(b.out) >= b.wall(now) {
 		b.count.Held++
 		return false
 	}
@@ -533,6 +537,7 @@
 		s.used += (x*x - s.used) / 8
 		b.crowd += (x*x - b.crowd) * min(0.5, max(1.0/16, (now-b.crowdAt).Seconds()/10)) // if rare, each tells more
 		b.crowdAt = now
+		b.note(now, x*x)
 	}
 	x := failStrain
 	switch end {
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -203,6 +204,7 @@
 func (w *world) Cancel(id RequestID, attempt int) { w.note("cancel %d %d", id, attempt) }
 func (w *world) Wake(d time.Duration)             { w.note("wake %v", d) }
 func (w *world) Probe(to ServerID)                { w.note("probe %d", to) }
+func (w *world) Tell(n News)                      { w.note("tell %+v", n) }
 func (w *world) Close(to ServerID)                { w.note("close %d", to); delete(w.closing, to) }
 func (w *world) WatchList()                       { w.note("watch"); w.watches++ }
 func (w *world) Log(line string)                  { w.note("log %s", line) }
@@ -223,6 +225,7 @@
 		cfg.Classes[i].InOrder = pick(2) == 0
 	}
 	cfg.CrossZonePrice = float64(pick(2)) * 0.02
+	cfg.MayTell = pick(2) == 0
 	w := &world{t: t, cfg: cfg, held: map[RequestID]*asked{}, listed: map[ServerID]Server{}, now: time.Hour}
 	w.colds = map[ServerID][]time.Duration{}
 	w.calm = pick(2) == 0
@@ -258,6 +261,13 @@
 
 func (w *world) step(pick func(int) int) {
 	w.now += time.Duration(pick(8)) * ms
+	if w.cfg.MayTell && pick(4) == 0 { // true or false, it must not break a rule
+		figure := func() float64 {
+			return []float64{0, 1, 40, 4, 1e9, -1, math.NaN(), math.Inf(1)}[pick(8)]
+		}
+		at := w.now + []time.Duration{0, -ms, -time.Hour, time.Hour}[pick(4)]
+		w.b.Heard(w.now, pick(60)-5, News{At: at, Rate: figure(), Answers: figure(), Crowd: figure()})
+	}
 	w.timeouts()
 	switch pick(10) {
 	case 0, 1, 2:
--- a/policy/state.go
+++ b/policy/state.go
@@ -134,6 +134,7 @@
 	pairs    int              // pairs of reports compared
 	fresh    int              // and those that differed
 	closeAt  time.Duration    // when connections to draining servers are closed once more; 0: not due
+	news     gossip
 	count    Counters
 }
 
