Count a client's repeat from its first try, so that late answers take no room

Cause: policy.go, Request. A repeat counts from its arrival unless its time left is shorter than that of first tries. Clients give each try the same time until the last one meets the deadline, so a try that follows a time-out at the aim looks fresh, and is worth nothing.

Ruled out: attempts' time-outs (they end with the aim) and the queue's waits (lateIn holds there).

Design: what is given up is remembered by class, tenant and key for as long as clients come back, bounded; a marked repeat takes the time of the latest one alike. One whose aim is gone is sent only where there is room, as repeats with a shorter time left were before. It is refused at once, not held.

--- a/policy/api.go
+++ b/policy/api.go
@@ -4,7 +4,7 @@
 // A Balancer is single-threaded and deterministic: it has no goroutines, no
 // clock and no I/O. The program that embeds it calls one method per event and
 // passes the time; the Balancer answers through the Host it was given. This
-// file is the interface; the decisions are in policy.go and peers.go.
+// file is the interface; the decisions are in policy.go, peers.go and repeat.go.
 //
 // Times are durations since a fixed moment of the embedding program's choice; they must never go
 // back, and all calls for one Balancer come from one goroutine, in the order of what happened. The
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,6 +1,6 @@
-// The interface (types, events, actions) is api.go; what balancers tell one another is peers.go; every
-// other decision is here: start, events, compartments, the gate that all sends pass, server choice and
-// health, list, reports, endings.
+// The interface (types, events, actions) is api.go; what balancers tell one another is peers.go, what
+// clients' repeats are is repeat.go; every other decision is here: start, events, compartments, the gate
+// that all sends pass, server choice and health, list, reports, endings.
 
 package policy
 
@@ -60,7 +60,7 @@
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
 		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
 		b.worth += c.Worth / float64(len(cfg.Classes))
-		b.pace = min(b.pace, c.Aim/8)
+		b.pace, b.longest = min(b.pace, c.Aim/8), max(b.longest, c.Deadline)
 	}
 	b.deriveSlots()
 	return b, nil
@@ -117,13 +117,16 @@
 	r := &request{id: q.ID, class: &b.classes[q.Class], home: &b.parts[q.Tenant]}
 	r.deadline = now + min(q.Left, time.Hour)
 	r.useful, r.wanted = r.deadline, min(r.deadline, now+r.class.Aim)
+	if r.first, r.key = now, q.Key; q.Repeat && q.Key != 0 {
+		r.first = b.firstTry(now, r)
+	}
 	if stretch := r.class.AimStretch; r.class.LateShare == 0 && (stretch == 0 || q.Work > 0) {
-		begun := now // the first try; a later one has less time left, or waits less for good
+		// a later try has less time left, or waits less for good
 		r.class.longest = max(q.Left, r.class.longest-(r.class.longest-q.Left)/64)
 		if (q.Repeat || !b.cfg.MarksRepeat) && q.Left < r.class.longest-2*busyTick {
-			begun = min(now, r.deadline-r.class.Deadline)
+			r.first = min(r.first, r.deadline-r.class.Deadline)
 		}
-		r.useful = min(r.deadline, begun+r.class.Aim+time.Duration(stretch*float64(q.Work)))
+		r.useful = min(r.deadline, r.first+r.class.Aim+time.Duration(stretch*float64(q.Work)))
 	}
 	if r.class.InOrder && q.Key != 0 {
 		b.join(now, r, q.Key)
@@ -139,7 +142,7 @@
 	if !b.admit(now, r) {
 		r.class.asked.all++
 		b.count.Throttled++
-		b.finish(r)
+		b.finish(now, r)
 		return
 	}
 	b.place(now, r)
@@ -179,25 +182,25 @@
 		r.useful = r.deadline
 		if b.ease(b.crowding(now)) < 1 || !b.dispatch(now, r) {
 			b.count.Late++
-			b.finish(r)
+			b.finish(now, r)
 		}
 		return
 	}
 	if b.dispatch(now, r) {
 		return
 	}
-	b.enqueue(r)
+	b.enqueue(now, r)
 }
 
 // enqueue has a request wait in its compartment, behind those at least as worthy. In a full queue the least
 // worthy one gives up its place: someone is refused promptly either way.
-func (b *Balancer) enqueue(r *request) {
+func (b *Balancer) enqueue(now time.Duration, r *request) {
 	c := r.home
 	if len(c.queue) >= c.places {
 		if last := c.queue[len(c.queue)-1]; last.class.Worth < r.class.Worth {
-			b.finish(last) // which takes it out of the queue
+			b.finish(now, last) // which takes it out of the queue
 		} else {
-			b.finish(r)
+			b.finish(now, r)
 			return
 		}
 	}
@@ -271,7 +274,7 @@
 		ends := now+2*max(busyTick, b.cfg.Tick) > r.deadline || now >= r.lateIn()
 		waited := r.out == 0 && (ends || !r.mayRepeat(now, nil))
 		if !r.begun && (waited || now >= r.deadline) {
-			b.finish(r)
+			b.finish(now, r)
 		}
 	}
 	b.open = slices.DeleteFunc(b.open, func(r *request) bool { return r.over })
@@ -307,7 +310,7 @@
 // further gives a request whose attempts have all failed another one, or ends it.
 func (b *Balancer) further(now time.Duration, r *request) {
 	if len(r.attempts) >= b.cfg.MaxAttempts || !r.mayRepeat(now, nil) || now >= r.lateIn() || b.spent(now) {
-		b.finish(r)
+		b.finish(now, r)
 		return
 	}
 	if !b.dispatch(now, r) {
@@ -330,7 +333,7 @@
 					next = max(next, r.class.Worth)
 					n = len(c.queue)
 				case now >= r.lateIn():
-					b.finish(r) // which takes it out of the queue
+					b.finish(now, r) // which takes it out of the queue
 				case b.dispatch(now, r):
 					c.queue = slices.Delete(c.queue, n, n+1)
 				case len(r.attempts) == 0 && r.inTurn(now):
@@ -681,7 +684,7 @@
 }
 
 // finish is the one place that answers: refused where that is true, failed where it is not.
-func (b *Balancer) finish(r *request) {
+func (b *Balancer) finish(now time.Duration, r *request) {
 	switch {
 	case r.over:
 		return
@@ -693,6 +696,7 @@
 		b.count.Failed++
 		b.host.Fail(r.id)
 	}
+	b.remember(now, r)
 	b.settle(r)
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1147,6 +1147,56 @@
 	}
 }
 
+// Guards against work for answers that earn nothing: a client that asks again at once has as much time for
+// this try as for the first, but not for the answer. Others' repeats and first tries are not its own.
+func TestRepeatIsLateByItsFirstTry(t *testing.T) {
+	cfg := testConfig()
+	cfg.MarksRepeat, cfg.MaxAttempts = true, 1
+	b, h := start(t, cfg, ready(1, 2))
+	b.crowd = 4 // crowded: what is late is refused
+	try := func(now time.Duration, id RequestID, key uint64, repeat bool) (sent bool) {
+		n := len(h.sends)
+		b.Request(now, Request{ID: id, Class: safeClass, Key: key, Left: 2 * time.Second, Repeat: repeat})
+		return len(h.sends) > n
+	}
+	if !try(0, 1, 7, false) {
+		t.Fatal("the first try was not sent")
+	}
+	end(b, 950*ms, 1, 0, TimedOut) // the aim is a second
+	forgetAsked(b)
+	if !try(951*ms, 2, 8, true) {
+		t.Error("a repeat of something else was taken for late")
+	}
+	end(b, 960*ms, 2, 0, Served)
+	if !try(961*ms, 3, 7, false) {
+		t.Error("a first try was taken for late")
+	}
+	end(b, 970*ms, 3, 0, Served)
+	b.crowd = 4
+	if try(971*ms, 4, 7, true) || b.Counters().Late != 1 {
+		t.Errorf("a repeat whose aim is as good as gone was sent, late %d", b.Counters().Late)
+	}
+	if now := 4 * time.Second; !try(now, 5, 7, true) {
+		t.Error("what was given up long ago still makes repeats late")
+	}
+	if len(b.gaveUp) > 1 {
+		t.Errorf("%d requests given up long ago are still remembered", len(b.gaveUp))
+	}
+}
+
+// What is remembered of requests given up is bounded.
+func TestGivenUpRequestsAreBounded(t *testing.T) {
+	cfg := testConfig()
+	cfg.MarksRepeat = true
+	b, _ := start(t, cfg, nil)
+	for id := range RequestID(3 * givenUpMost) {
+		b.Request(0, Request{ID: id, Class: safeClass, Key: uint64(id) + 1, Left: time.Second})
+	}
+	if n := len(b.gaveUp); n > givenUpMost || n < givenUpMost/2 {
+		t.Fatalf("%d remembered, want at most %d", n, givenUpMost)
+	}
+}
+
 // Guards against a zone with more traffic than its own servers can bear; crossing has a price, so near ones lead.
 func TestFarServersHaveFewerTurns(t *testing.T) {
 	cfg := testConfig()
--- a/policy/state.go
+++ b/policy/state.go
@@ -43,6 +43,8 @@
 	id        RequestID
 	class     *class
 	home      *compartment
+	key       uint64        // what it is about
+	first     time.Duration // when its client's first try began, as far as is known
 	deadline  time.Duration // the client's
 	useful    time.Duration // an answer after this earns nothing
 	wanted    time.Duration // and one before this earns most
@@ -135,6 +137,8 @@
 	fresh    int              // and those that differed
 	closeAt  time.Duration    // when connections to draining servers are closed once more; 0: not due
 	news     gossip
+	gaveUp   []givenUp     // in order of time
+	longest  time.Duration // deadline of any class
 	count    Counters
 }
 
