Begin with discovery's changes since the list held, as a restarted fleet all asks at once

The sidecars learn of changes seconds late, some after many tries.

Cause: discovery.go, follow. Each start and each return after a failed call asks for the whole list, though the sidecar was given one or holds one. 60 lines a call is what one sidecar may well ask for; from 56 at once it is more than discovery can write, so most calls wait too long, fail, and come again for as much.

Ruled out: the module's pauses between calls (0.25 to 4 s with jitter, spread well in the logs) and watches that end (they fail only when discovery turns calls away).

Design: the first call tells the version held and does not wait, so discovery writes what has changed; the watch follows from there. After a failure it goes on from the version held. An answer that can't be read, a version that goes back, or a new address after SIGHUP has it ask for the whole list as before.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -20,6 +20,7 @@
 
 const (
 	watchWait  = 20 * time.Second // how long discovery may hold a watch
+	firstWait  = time.Millisecond // and the first call, from a list held since before: that is not to wait
 	answerTime = 2 * time.Second  // and how long its answer may take besides
 	listTime   = 6 * time.Second  // how long it may take over the whole list
 	firstRetry = 200 * time.Millisecond
@@ -27,6 +28,9 @@
 	listLimit  = 8 << 20         // bytes of one answer; far above any real list
 )
 
+// errUnusable is an answer that can't be read.
+var errUnusable = errors.New("the answer is unusable")
+
 // listing is one answer of discovery.
 type listing struct {
 	version int64
@@ -103,13 +107,18 @@
 	failed func()
 	client http.Client
 
+	version int64 // of the list that is held, at the address that is followed; below 0: none, or not to be trusted
+
 	mu      sync.Mutex
 	address string
 	moved   context.CancelFunc // ends what is under way with the address before
 }
 
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
-	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed}
+	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, version: -1}
+	if len(cfg.Known.servers) > 0 {
+		d.version = cfg.Known.version
+	}
 	if cfg.Policy.AskList {
 		d.asked = make(chan struct{}, 1)
 	}
@@ -176,6 +185,7 @@
 			return
 		}
 		if moved = following.Err() != nil; moved {
+			d.version = -1
 			d.client.CloseIdleConnections()
 			pause = firstRetry
 			continue
@@ -197,21 +207,31 @@
 	}
 }
 
-// follow calls discovery until a call fails. It tells whether any call went well.
+// follow calls discovery until a call fails. It tells whether any call went well. It begins with what
+// has changed since the list that is held, if any: every line is work for discovery, and after a restart
+// of many sidecars all of them call at once. That first call does not wait.
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
-	version := int64(-1)
 	for {
 		query, limit := "", listTime
-		if heard {
-			query = fmt.Sprintf("?index=%d&wait=%d", version, watchWait.Milliseconds())
+		switch {
+		case d.version >= 0 && heard:
+			query = fmt.Sprintf("?index=%d&wait=%d", d.version, watchWait.Milliseconds())
 			limit = watchWait + answerTime
+		case d.version >= 0:
+			query = fmt.Sprintf("?index=%d&wait=%d", d.version, firstWait.Milliseconds())
 		}
 		l, err := d.call(ctx, address, query, limit)
+		if err == nil && !l.whole && query != "" && l.version < d.version { // begun anew: they mean something else now
+			err = fmt.Errorf("%w: its version went from %d to %d", errUnusable, d.version, l.version)
+		}
+		if errors.Is(err, errUnusable) {
+			d.version = -1 // nothing that it said of changes is to be built on
+		}
 		if err != nil {
 			return heard, err
 		}
-		l.whole = l.whole || !heard // the first call asked for the whole list
-		heard, version = true, l.version
+		l.whole = l.whole || query == "" // that call asked for the whole list
+		heard, d.version = true, l.version
 		d.heard(l)
 	}
 }
@@ -235,7 +255,11 @@
 	case res.StatusCode != http.StatusOK:
 		return listing{}, fmt.Errorf("answered %s", res.Status)
 	case len(body) > listLimit:
-		return listing{}, errors.New("the answer is too long")
+		return listing{}, fmt.Errorf("%w: it is too long", errUnusable)
+	}
+	l, err := parseListing(body, d.zones)
+	if err != nil {
+		return listing{}, fmt.Errorf("%w: %w", errUnusable, err)
 	}
-	return parseListing(body, d.zones)
+	return l, nil
 }
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -106,6 +106,64 @@
 	wait(t, "the end", ended)
 }
 
+// Guards against a fleet that restarts and asks for the whole list at once: each begins with the changes since
+// the list that it was given, also after discovery turned it away. What can't be read, or a version that goes
+// back, has it ask for the whole.
+func TestDiscoveryBeginsWithChangesSinceTheListHeld(t *testing.T) {
+	queries := make(chan string, 100)
+	answers := make(chan string, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		queries <- r.URL.RawQuery
+		select {
+		case answer := <-answers:
+			if answer == "" {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
+			_, _ = io.WriteString(w, answer)
+		case <-r.Context().Done():
+		}
+	}))
+	defer server.Close()
+	cfg := testConfig(t, listed(41, "ready", "127.0.0.1:80"), func(file, _ map[string]any) {
+		file["discovery"] = server.Listener.Addr().String()
+	})
+	heard := make(chan listing, 100)
+	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() {})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.run(ctx); close(ended) }()
+	const changes = `{"generation":%d,"reset":false,"instances":[]}`
+	for n, step := range []struct {
+		query, answer string
+		whole, told   bool
+	}{
+		{"index=41&wait=1", "", false, false},
+		{"index=41&wait=1", fmt.Sprintf(changes, 43), false, true},
+		{"index=43&wait=20000", listed(44, "ready", "127.0.0.1:81"), true, true},
+		{"index=44&wait=20000", "noise", false, false},
+		{"", listed(45, "ready", "127.0.0.1:82"), true, true},
+		{"index=45&wait=20000", "", false, false},
+		{"index=45&wait=1", fmt.Sprintf(changes, 3), false, false},
+		{"", listed(3, "ready", "127.0.0.1:82"), true, true},
+	} {
+		answers <- step.answer
+		if got := wait(t, "a call", queries); got != step.query {
+			t.Fatalf("call %d: %q, want %q", n, got, step.query)
+		}
+		if step.told {
+			if l := wait(t, "a list", heard); l.whole != step.whole {
+				t.Fatalf("call %d: whole %v, want %v", n, l.whole, step.whole)
+			}
+		}
+	}
+	if len(heard) > 0 {
+		t.Errorf("%d more lists were taken", len(heard))
+	}
+	cancel()
+	wait(t, "the end", ended)
+}
+
 // Where the list must be asked for, nothing is called before the module asks.
 func TestDiscoveryIsAsked(t *testing.T) {
 	calls := make(chan struct{}, 100)
