--- a/policy/policy.go
+++ b/policy/policy.go
@@ -59,7 +59,6 @@
 	for _, c := range cfg.Classes {
 		b.classes = append(b.classes, class{Class: c, pace: c.Aim / 8})
 		b.aim += c.Aim.Seconds() / float64(len(cfg.Classes))
-		b.worth += c.Worth / float64(len(cfg.Classes))
 		b.pace, b.longest = min(b.pace, c.Aim/8), max(b.longest, c.Deadline)
 	}
 	b.deriveSlots()
--- a/policy/state.go
+++ b/policy/state.go
@@ -122,7 +122,6 @@
 	every    float64       // seconds in which each of them gets a turn
 	pace     time.Duration // usual time of an answer, over all classes
 	aim      float64       // mean aim, in seconds
-	worth    float64       // mean worth of the classes
 	fadeAt   time.Duration // when the classes' counts were last faded
 	wakeAt   time.Duration
 	askAt    time.Duration // when to ask for the list next; 0: no need
