Read the list at once when a watch falls silent, and draw how long each watch waits

A probe on calls (rough) showed the calls after it begun 150 to 350 ms later by the module's pause, and answered one after another, 150 ms for each six changed lines: the last of six knew at 23.45 s what counted as told at 22.03 s. Watches that are not silent are answered within 1 ms of their wait, so the 2 s allowed for an answer served nothing. With 60 sidecars calls with no lines came every 50 ms after the first 44 and the last waited 1.85 s, so a fleet that calls at one moment can't be in time. Ruled out: the module sends nothing to a server that its list calls draining (mayGo), and peers name none. At fault: discovery.go, answerTime (all of the time until told was spent waiting) and run, which told the module of a failure and let it pause. Now a watch is silent 0.5 s after its wait is over, and follow reads the changes at once on a new connection; each wait is drawn from 10 to 20 s, so that watches opened together end apart. Where lists are pushed, the longest pause after a failure is a quarter of the time in which sends must stop (2 s before). Both tests of silence fail without the fix (seen), the timed one also with 2 s of patience. The tests that compared the query of a watch draw one length now, 20 s as before.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -43,6 +43,7 @@
 	ConnIdle    time.Duration // an upstream closes connections that stood idle so long
 	DialTimeout time.Duration
 	Longest     time.Duration // the longest deadline of any class
+	DrainGrace  time.Duration // within this, sends to a server that leaves must stop; 0: not known
 
 	Known listing // the servers as last known
 }
@@ -172,6 +173,7 @@
 	c.MostOpen = int(s.Number("caps.max_open"))
 	c.ConnIdle = s.Duration("caps.conn_idle_ms")
 	c.DialTimeout = s.Duration("caps.dial_timeout_ms")
+	c.DrainGrace = s.Duration("rules.stop_sending_within_ms")
 	for _, k := range c.Policy.Classes {
 		c.Longest = max(c.Longest, k.Deadline)
 	}
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -19,15 +19,21 @@
 )
 
 const (
-	watchWait  = 20 * time.Second // how long discovery may hold a watch
+	watchMost  = 20 * time.Second // how long discovery may hold a watch at most, and half as long at least
 	firstWait  = time.Millisecond // and the first call, from a list held since before: that is not to wait
-	answerTime = 2 * time.Second  // and how long its answer may take besides
 	listTime   = 6 * time.Second  // how long it may take over the whole list
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 2 * time.Second // with jitter, well under the 6 s after which a drain counts as told
 	listLimit  = 8 << 20         // bytes of one answer; far above any real list
+
+	// A watch with no answer so long after its wait is over has fallen silent. What it missed counts as
+	// told 2 s after that wait: the rest of these is left for the call that reads it, and its turn at discovery.
+	silenceAfter = 500 * time.Millisecond
 )
 
+// errSilent is a watch that discovery has not answered.
+var errSilent = errors.New("the watch has fallen silent")
+
 // errUnusable is an answer that can't be read.
 var errUnusable = errors.New("the answer is unusable")
 
@@ -107,6 +113,10 @@
 	failed func()
 	client http.Client
 
+	watch     func() time.Duration // how long the next watch may be held
+	silence   time.Duration        // and how long its answer may take besides
+	lastRetry time.Duration        // the longest pause after a failure, where lists are pushed
+
 	version int64 // of the list that is held, at the address that is followed; below 0: none, or not to be trusted
 
 	mu      sync.Mutex
@@ -115,7 +125,11 @@
 }
 
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
-	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, version: -1}
+	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, version: -1,
+		watch: watchTime, silence: silenceAfter, lastRetry: lastRetry}
+	if cfg.DrainGrace > 0 { // where lists are pushed, what has changed counts as told at once
+		d.lastRetry = min(d.lastRetry, cfg.DrainGrace/4)
+	}
 	if len(cfg.Known.servers) > 0 {
 		d.version = cfg.Known.version
 	}
@@ -127,6 +141,12 @@
 	return d
 }
 
+// watchTime draws how long a watch may be held. The watches of a fleet open together, when something has
+// changed, and may fall silent together: those of one length would all be found out, and call, at once.
+func watchTime() time.Duration {
+	return watchMost/2 + rand.N(watchMost/2+time.Millisecond)
+}
+
 // ask takes that the module wants to be subscribed to the list.
 func (d *discovery) ask() {
 	select {
@@ -170,7 +190,8 @@
 // asked for, the module says when. At a new address it begins anew at once, with the whole list: the
 // versions of the old one mean nothing there.
 func (d *discovery) run(ctx context.Context) {
-	pause, moved := firstRetry, false
+	first := min(firstRetry, d.lastRetry)
+	pause, moved := first, false
 	for ctx.Err() == nil {
 		if d.asked != nil && !moved {
 			select {
@@ -187,7 +208,7 @@
 		if moved = following.Err() != nil; moved {
 			d.version = -1
 			d.client.CloseIdleConnections()
-			pause = firstRetry
+			pause = first
 			continue
 		}
 		slog.Warn("discovery", "error", err)
@@ -196,31 +217,38 @@
 			continue
 		}
 		if heard {
-			pause = firstRetry
+			pause = first
 		}
 		// Jitter: all sidecars lose discovery at the same moment and must not come back as one.
 		select {
 		case <-time.After(time.Duration(float64(pause) * (0.5 + rand.Float64()))):
 		case <-following.Done(): // at its new address nothing has failed yet
 		}
-		pause = min(2*pause, lastRetry)
+		pause = min(2*pause, d.lastRetry)
 	}
 }
 
 // follow calls discovery until a call fails. It tells whether any call went well. It begins with what
 // has changed since the list that is held, if any: every line is work for discovery, and after a restart
-// of many sidecars all of them call at once. That first call does not wait.
+// of many sidecars all of them call at once. That first call does not wait. Nor does the one after a watch
+// that fell silent, which comes at once: what was missed may soon count as told.
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
+	silent := false
 	for {
-		query, limit := "", listTime
+		query, limit, watching := "", listTime, false
 		switch {
-		case d.version >= 0 && heard:
-			query = fmt.Sprintf("?index=%d&wait=%d", d.version, watchWait.Milliseconds())
-			limit = watchWait + answerTime
+		case d.version >= 0 && heard && !silent:
+			wait := d.watch()
+			query = fmt.Sprintf("?index=%d&wait=%d", d.version, wait.Milliseconds())
+			limit, watching = wait+d.silence, true
 		case d.version >= 0:
 			query = fmt.Sprintf("?index=%d&wait=%d", d.version, firstWait.Milliseconds())
 		}
 		l, err := d.call(ctx, address, query, limit)
+		if silent = watching && errors.Is(err, context.DeadlineExceeded); silent {
+			slog.Warn("discovery", "error", errSilent)
+			continue
+		}
 		if err == nil && !l.whole && query != "" && l.version < d.version { // begun anew: they mean something else now
 			err = fmt.Errorf("%w: its version went from %d to %d", errUnusable, d.version, l.version)
 		}
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -1,14 +1,19 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"arrowgw/policy"
@@ -72,6 +77,7 @@
 	})
 	heard, failed := make(chan listing, 100), make(chan struct{}, 100)
 	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() { failed <- struct{}{} })
+	d.watch = func() time.Duration { return generous } // drawn anew for each watch, and here all of one length
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { d.run(ctx); close(ended) }()
@@ -130,6 +136,7 @@
 	})
 	heard := make(chan listing, 100)
 	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() {})
+	d.watch = func() time.Duration { return generous }
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() { d.run(ctx); close(ended) }()
@@ -164,6 +171,125 @@
 	wait(t, "the end", ended)
 }
 
+// A watch that discovery never answers is given up, and what changed meanwhile read at once on a new connection:
+// it is no failure, after which the module would let time pass.
+func TestSilentWatchIsReadAgain(t *testing.T) {
+	queries := make(chan string, 100)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		queries <- r.URL.RawQuery
+		switch r.URL.RawQuery {
+		case "":
+			_, _ = io.WriteString(w, listed(41, "ready", "127.0.0.1:80"))
+		case "index=41&wait=1":
+			_, _ = io.WriteString(w, listed(42, "draining", "127.0.0.1:80"))
+		default: // a watch: silent until the other side ends it
+			<-r.Context().Done()
+		}
+	}))
+	defer server.Close()
+	cfg := testConfig(t, listed(0, "ready"), func(file, settings map[string]any) {
+		file["discovery"] = server.Listener.Addr().String()
+		settings["discovery"] = "ask"
+	})
+	heard := make(chan listing, 100)
+	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() { t.Error("told the module of a failure") })
+	waits := make(chan time.Duration, 2)
+	waits <- 5 * time.Millisecond
+	waits <- generous
+	d.watch, d.silence = func() time.Duration { return <-waits }, time.Millisecond
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	d.ask()
+	go func() { d.run(ctx); close(ended) }()
+	for _, want := range []string{"", "index=41&wait=5", "index=41&wait=1", "index=42&wait=20000"} {
+		if got := wait(t, "a call", queries); got != want {
+			t.Fatalf("called %q, want %q", got, want)
+		}
+	}
+	if l := wait(t, "the list", heard); l.servers[0].State != policy.Ready {
+		t.Errorf("first %+v", l)
+	}
+	if l := wait(t, "the news", heard); l.servers[0].State != policy.Draining {
+		t.Errorf("after the silence %+v", l)
+	}
+	cancel()
+	wait(t, "the end", ended)
+}
+
+// What a silent watch misses counts as told 2 s after its wait is over. On the page's clock it is known before
+// that, however long the watch may be held, also where discovery takes a second over the call that reads it.
+func TestSilentWatchIsReadInTime(t *testing.T) {
+	const counts, turn = 2 * time.Second, time.Second
+	for range 20 {
+		synctest.Test(t, func(t *testing.T) {
+			cfg := testConfig(t, listed(41, "ready", "127.0.0.1:80"), func(_, settings map[string]any) { settings["discovery"] = "ask" })
+			heard := make(chan listing, 1)
+			d := newDiscovery(cfg, func(l listing) {
+				if l.version == 42 {
+					heard <- l
+				}
+			}, func() { t.Error("told the module of a failure") })
+			var told atomic.Pointer[time.Time] // when what the silent watch missed counts as told
+			answer := func(c net.Conn) {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for calls := 0; ; calls++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					wait, err := strconv.Atoi(req.FormValue("wait"))
+					version := 41
+					switch {
+					case err != nil:
+						t.Errorf("query %q", req.URL.RawQuery)
+						return
+					case wait > 1 && told.Load() == nil:
+						at := time.Now().Add(time.Duration(wait)*time.Millisecond + counts)
+						told.Store(&at)
+						continue // falls silent
+					case wait > 1:
+						continue
+					case told.Load() != nil:
+						time.Sleep(turn)
+						version = 42
+					}
+					if !ok(c, fmt.Sprintf(`{"generation":%d,"reset":false,"instances":[]}`, version)) {
+						return
+					}
+				}
+			}
+			d.client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
+				ours, theirs := net.Pipe()
+				go answer(theirs)
+				return ours, nil
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			d.ask()
+			ended := make(chan struct{})
+			go func() { d.run(ctx); close(ended) }()
+			<-heard
+			if late := time.Since(*told.Load()); late > 0 {
+				t.Errorf("known %v after it counts as told", late)
+			}
+			cancel()
+			<-ended
+			d.client.CloseIdleConnections()
+		})
+	}
+}
+
+// Where lists are pushed, what has changed while discovery was away counts as told at its return, so the longest
+// pause between calls is well under the time in which sends must stop.
+func TestPushedListIsCalledWithinTheGrace(t *testing.T) {
+	cfg := testConfig(t, listed(1, "ready"), func(_, settings map[string]any) {
+		settings["rules"].(map[string]any)["stop_sending_within_ms"] = 400.0
+	})
+	if d := newDiscovery(cfg, nil, nil); d.lastRetry != 100*time.Millisecond {
+		t.Errorf("pauses up to %v, want 100ms", d.lastRetry)
+	}
+}
+
 // Where the list must be asked for, nothing is called before the module asks.
 func TestDiscoveryIsAsked(t *testing.T) {
 	calls := make(chan struct{}, 100)
@@ -212,6 +338,7 @@
 	cfg := testConfig(t, listed(1, "ready"), func(file, _ map[string]any) { file["discovery"] = before })
 	heard := make(chan listing, 100)
 	d := newDiscovery(cfg, func(l listing) { heard <- l }, func() { t.Error("failed") })
+	d.watch = func() time.Duration { return generous }
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	go d.run(ctx)
