Write no attempt whose server has left or whose client has gone while it was dialled

The module's gate (mayGo) looks only when it decides; loop.take closed idle connections of a server that left and let attempts be; settle calls attempts off only where caps.may_cancel is true. Lines at fault: upstream.exchange between connect and Write, loop.take, loop.finish. Now upstream knows the attempts of which nothing is written. Those to a server that drains or left end as not sent, which proves that they have not run, so the module sends them elsewhere; those of a request that is over end at once, whatever may_cancel says: nothing of them was ever an attempt at a server.

--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -156,12 +156,16 @@
 			delete(l.hosts, s.ID)
 		case h != nil && h.address == address:
 			l.hosts[s.ID] = h
+			if s.State != policy.Ready {
+				l.upstream.retire(h)
+			}
 		default:
 			l.hosts[s.ID] = &host{address: address}
 		}
 	}
 	for id, h := range before {
 		if l.hosts[id] != h {
+			l.upstream.retire(h)
 			l.upstream.leave(h)
 		}
 	}
@@ -190,9 +194,15 @@
 	})
 }
 
-// finish ends a request with its one answer, or with none where the client has gone.
+// finish ends a request with its one answer, or with none where the client has gone. Attempts of it that
+// are still to be written are not: whether others may be called off is for the module and the settings.
 func (l *loop) finish(id policy.RequestID, r *request, a *answer) {
 	r.over = true
+	for _, x := range r.attempts {
+		if x != nil {
+			x.withhold(policy.Cancelled)
+		}
+	}
 	if a != nil {
 		r.reply <- *a
 	}
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -12,7 +12,12 @@
 // idleLoop is a loop whose goroutine is the test itself, with one server in its list.
 func idleLoop(t *testing.T, address string) *loop {
 	t.Helper()
-	cfg := testConfig(t, listed(1, "ready", address), nil)
+	return loopFor(t, testConfig(t, listed(1, "ready", address), nil))
+}
+
+// loopFor is such a loop with a configuration of its own.
+func loopFor(t *testing.T, cfg *Config) *loop {
+	t.Helper()
 	c := newClock()
 	l, err := newLoop(cfg, c, newUpstream(cfg, c))
 	if err != nil {
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -50,6 +50,7 @@
 // nobody decided on.
 type upstream struct {
 	clock       clock
+	dial        func(ctx context.Context, network, address string) (net.Conn, error)
 	dialTimeout time.Duration
 	keep        time.Duration // connections idle for longer are not used again
 	settle      time.Duration // connections rest so long after an answer
@@ -59,9 +60,10 @@
 	probePath   string
 
 	mu      sync.Mutex
-	idle    map[*host][]*conn // the most recently used last
-	open    int               // idle, in use or being opened
-	sweeper *time.Timer       // set while there are idle ones
+	idle    map[*host][]*conn   // the most recently used last
+	unsent  map[*exchange]*host // attempts that nothing is written of yet
+	open    int                 // idle, in use or being opened
+	sweeper *time.Timer         // set while there are idle ones
 	dialled int
 	stale   int // idle ones found closed by their server, or with bytes left over
 }
@@ -83,13 +85,17 @@
 
 func newUpstream(cfg *Config, c clock) *upstream {
 	u := &upstream{
-		clock: c, dialTimeout: cfg.DialTimeout, reports: cfg.Reports, columns: cfg.Columns,
+		clock: c,
+		// Keep-alive is no use against a silent machine; the time-outs are.
+		dial:        (&net.Dialer{KeepAlive: -1}).DialContext,
+		dialTimeout: cfg.DialTimeout, reports: cfg.Reports, columns: cfg.Columns,
 		// Well before the server closes it: a request written from then on would end as a reset.
 		keep:      cfg.ConnIdle - min(idleMargin, cfg.ConnIdle/4),
 		settle:    settleTime,
 		most:      cfg.upstreamConns(),
 		probePath: "/alive",
 		idle:      make(map[*host][]*conn),
+		unsent:    make(map[*exchange]*host),
 	}
 	if cfg.Policy.Reports != 0 {
 		u.probePath = "/metrics/load"
@@ -99,45 +105,61 @@
 
 // exchange is one attempt or probe under way.
 type exchange struct {
-	mu        sync.Mutex
-	cancelled bool
-	stop      func() // ends what it is at: dialling, or its connection
+	mu      sync.Mutex
+	over    bool          // it is given up
+	ending  policy.Ending // and ends so
+	written bool          // some of its request may be on the way
+	stop    func()        // ends what it is at: dialling, or its connection
 }
 
 // cancel gives the exchange up. If its request is not yet on the way, it will not be sent.
-func (x *exchange) cancel() {
+func (x *exchange) cancel() { x.give(policy.Cancelled, false) }
+
+// withhold gives the exchange up if nothing of its request is on the way yet.
+func (x *exchange) withhold(ending policy.Ending) { x.give(ending, true) }
+
+func (x *exchange) give(ending policy.Ending, unwritten bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	x.cancelled = true
+	if unwritten && x.written {
+		return
+	}
+	if !x.over {
+		x.over, x.ending = true, ending
+	}
 	if x.stop != nil {
 		x.stop()
 	}
 }
 
-// begin enters what cancel has to end from now on. It returns false if the exchange is given up
-// already, and then enters nothing: a second cancel must not close a connection that has gone back
-// to the pool and may serve another exchange by then.
-func (x *exchange) begin(stop func()) bool {
+// begin enters what cancel has to end from now on, and whether the request goes on its way. It returns
+// false if the exchange is given up already, and then enters nothing: a second cancel must not close a
+// connection that has gone back to the pool and may serve another exchange by then.
+func (x *exchange) begin(writes bool, stop func()) bool {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	if x.cancelled {
+	if x.over {
 		return false
 	}
-	x.stop = stop
+	x.written, x.stop = x.written || writes, stop
 	return true
 }
 
-func (x *exchange) givenUp() bool {
+func (x *exchange) givenUp() (policy.Ending, bool) {
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	return x.cancelled
+	return x.ending, x.over
 }
 
 // send starts an attempt that is given up at until. Its end goes to done, once.
 func (u *upstream) send(to *host, m *message, until time.Duration, done func(result)) *exchange {
 	x := new(exchange)
+	u.mu.Lock()
+	u.unsent[x] = to // from now on: retire may come before it has got anywhere
+	u.mu.Unlock()
 	go func() {
 		res, body, ending := u.exchange(x, to, m, until)
+		u.sent(x) // also where it came to nothing
 		if res == nil {
 			done(result{ending: ending})
 			return
@@ -154,6 +176,25 @@
 	return x
 }
 
+// sent takes that an attempt's request goes on its way.
+func (u *upstream) sent(x *exchange) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	delete(u.unsent, x)
+}
+
+// retire takes that nothing new may go to a host, which drains or is no longer listed. Attempts that have come no
+// further than to dial there could yet be written long after the news: they end as not sent, and may go elsewhere.
+func (u *upstream) retire(to *host) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for x, at := range u.unsent {
+		if at == to {
+			x.withhold(policy.NotSent)
+		}
+	}
+}
+
 // probe asks a server for its load report. The result goes to told, once.
 func (u *upstream) probe(to *host, now time.Duration, told func(ok bool, load policy.Load)) {
 	go func() {
@@ -197,9 +238,10 @@
 // known: NoConnection until the last byte of the request is written, as it cannot have run before.
 func (u *upstream) exchange(x *exchange, to *host, m *message, until time.Duration) (*http.Response, []byte, policy.Ending) {
 	unsent := func(err error) policy.Ending {
+		ending, over := x.givenUp()
 		switch {
-		case x.givenUp():
-			return policy.Cancelled
+		case over:
+			return ending
 		case errors.Is(err, errNoRoom), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
 			return policy.NotSent // our own lack: no word on the server
 		}
@@ -209,10 +251,11 @@
 	if err != nil {
 		return nil, nil, unsent(err)
 	}
-	if !x.begin(func() { c.Conn.Close() }) { // given up in the meantime: nothing may go out any more
+	if !x.begin(true, func() { c.Conn.Close() }) { // given up in the meantime: nothing may go out any more
 		u.keepIdle(to, c)
-		return nil, nil, policy.Cancelled
+		return nil, nil, unsent(nil)
 	}
+	u.sent(x)
 	begun := u.clock.now()
 	_ = c.SetDeadline(u.clock.at(until)) // fails only on a closed connection, as the write then does
 	// One write: it tells whether the last byte went out.
@@ -222,7 +265,7 @@
 	}
 	res, body, err := c.answer(m.method)
 	switch {
-	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(nil):
+	case err == nil && !res.Close && c.r.Buffered() == 0 && x.begin(true, nil):
 		u.keepIdle(to, c)
 	default: // broken, to be closed, with bytes left over behind the answer, or given up
 		u.discard(c)
@@ -231,9 +274,10 @@
 		return res, body, policy.Served
 	}
 	var timeout net.Error
+	ending, over := x.givenUp()
 	switch {
-	case x.givenUp():
-		return nil, nil, policy.Cancelled
+	case over:
+		return nil, nil, ending
 	case errors.As(err, &timeout) && timeout.Timeout():
 		if u.clock.now()-begun >= u.dialTimeout { // a shorter wait tells nothing of the machine
 			u.doubt(to, begun)
@@ -302,12 +346,10 @@
 	limit := min(u.dialTimeout, until-u.clock.now())
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	if !x.begin(cancel) {
+	if !x.begin(false, cancel) {
 		cancel()
 	}
-	var d net.Dialer
-	d.KeepAlive = -1 // no use against a silent machine; the time-outs are
-	raw, err := d.DialContext(ctx, "tcp", to.address)
+	raw, err := u.dial(ctx, "tcp", to.address)
 	if err != nil {
 		u.mu.Lock()
 		u.open--
