Notice a client that leaves behind bytes it has sent after its request

Cause by reading net/http: its background read stops at the first byte behind an open request, so a FIN or reset behind that is not seen and the request stays queued, is sent and sent again. Line at fault: front.ServeHTTP, which had only the request's context to go by. Now a watch reads on from that byte and keeps what it has read for net/http, in order (TestRequestsBehindARequest cuts heads anywhere). What it keeps is bounded by the longest head; a client that sends more behind an open request is cut off, as bad clients that send much at once may be.

--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -36,6 +36,11 @@
 	place  *list.Element // in idle; nil: a request is open, or it is closed
 	since  time.Time     // without an open request
 	closed bool
+
+	reading  bool   // net/http reads
+	behind   bool   // it has last read one byte behind a request
+	watching *watch // nil: no request waits for its answer
+	ahead    []byte // read behind a request by its watch, not yet by net/http
 }
 
 func newAcceptor(l net.Listener, most int) *acceptor {
@@ -138,20 +143,46 @@
 	return a.Listener.Close()
 }
 
+// Read is net/http's alone. While a watch reads, it waits for what that has read.
 func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
+	c.a.mu.Lock()
+	if w := c.watching; w != nil && w.reading {
+		c.a.mu.Unlock()
+		<-w.ended
+		c.a.mu.Lock()
+	}
+	c.reading = true
+	n, err := copy(p, c.ahead), error(nil)
+	if c.ahead = c.ahead[n:]; len(c.ahead) == 0 {
+		c.ahead = nil
+	}
+	c.a.mu.Unlock()
 	if n == 0 {
-		return n, err
+		n, err = c.Conn.Read(p)
 	}
 	c.a.mu.Lock()
 	defer c.a.mu.Unlock()
+	c.reading = false
+	if n == 0 {
+		return n, err
+	}
 	if c.closed {
 		return 0, net.ErrClosed
 	}
 	c.a.busy(c)
+	c.behind = len(p) == 1
+	c.takeOver()
 	return n, err
 }
 
+// takeOver has a watch read on where net/http has stopped: it reads a single byte behind a request that waits
+// for its answer, to notice a close, and no more until it is answered. The caller holds the acceptor's lock.
+func (c *clientConn) takeOver() {
+	if c.watching != nil && c.behind && !c.reading {
+		c.watching.begin()
+	}
+}
+
 func (c *clientConn) Close() error {
 	err := c.Conn.Close() // first: the books say what is free
 	c.a.mu.Lock()
--- /dev/null
+++ b/internal/sidecar/endings_test.go
@@ -0,0 +1,297 @@
+package sidecar
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"arrowgw/policy"
+)
+
+// entrance serves clients on loopback for a loop whose goroutine is the test itself.
+func entrance(t *testing.T, l *loop) (f *front, address string) {
+	t.Helper()
+	cfg := testConfig(t, listed(1, "ready"), nil)
+	listener, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f = newFront(cfg, l.clock, l)
+	a := newAcceptor(listener, cfg.clientConns())
+	server := f.server(a)
+	go func() { _ = server.Serve(a) }() // ends with the test
+	t.Cleanup(func() { server.Close() })
+	return f, listener.Addr().String()
+}
+
+// client opens a connection and sends a request on it.
+func client(t *testing.T, address, head string) *net.TCPConn {
+	t.Helper()
+	c, err := net.Dial("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	if err := c.SetReadDeadline(time.Now().Add(generous)); err != nil {
+		t.Fatal(err)
+	}
+	write(t, c, head)
+	return c.(*net.TCPConn)
+}
+
+func write(t *testing.T, c net.Conn, text string) {
+	t.Helper()
+	if _, err := io.WriteString(c, text); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// look is a usable request that has no effect.
+func look(id string) string {
+	return fmt.Sprintf("GET /look HTTP/1.1\r\nHost: service.internal\r\nX-Request-ID: %s\r\nX-Priority-Class: look\r\n"+
+		"X-Tenant-Id: north\r\nX-Timeout: 20000m\r\n\r\n", id)
+}
+
+// list has the loop take news of servers in one state, at addresses, named by their number from 0.
+func (l *loop) listAll(t *testing.T, lifecycle string, addresses ...string) {
+	t.Helper()
+	news, err := parseListing([]byte(listed(2, lifecycle, addresses...)), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.take(news, policy.ListFull)
+	l.settle()
+}
+
+// ways are how a client leaves. Each returns once the close is on its way.
+var ways = map[string]func(t *testing.T, c *net.TCPConn){
+	"FIN": func(t *testing.T, c *net.TCPConn) { c.Close() },
+	"reset": func(t *testing.T, c *net.TCPConn) {
+		if err := c.SetLinger(0); err != nil {
+			t.Error(err)
+		}
+		c.Close()
+	},
+	"FIN behind more": func(t *testing.T, c *net.TCPConn) {
+		write(t, c, look("behind"))
+		c.Close()
+	},
+	"half a close behind more": func(t *testing.T, c *net.TCPConn) {
+		write(t, c, look("behind"))
+		if err := c.CloseWrite(); err != nil {
+			t.Error(err)
+		}
+	},
+	"reset behind more": func(t *testing.T, c *net.TCPConn) {
+		write(t, c, look("behind"))
+		if err := c.SetLinger(0); err != nil {
+			t.Error(err)
+		}
+		c.Close()
+	},
+	"more than may be read ahead": func(t *testing.T, c *net.TCPConn) {
+		write(t, c, strings.Repeat("x", aheadLimit+1+4<<10))
+	},
+}
+
+// A request whose client leaves while it waits for a server is not sent on, though one comes up right after.
+func TestClientLeavesWhileQueued(t *testing.T) {
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, echo)
+			l := idleLoop(t, s.address)
+			l.listAll(t, "draining", s.address)
+			_, address := entrance(t, l)
+			c := client(t, address, look("left"))
+			l.next(t) // it waits
+			leave(t, c)
+			l.next(t) // its client has gone
+			l.listAll(t, "ready", s.address)
+			c = client(t, address, look("stays"))
+			for range 2 {
+				l.next(t)
+			}
+			if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != http.StatusOK {
+				t.Fatalf("the client that stays: %+v, error %v", res, err)
+			}
+			if r := wait(t, "a request", s.seen); r.Header.Get("X-Request-ID") != "stays" || len(s.seen) > 0 {
+				t.Errorf("the server had %s and %d more", r.Header.Get("X-Request-ID"), len(s.seen))
+			}
+		})
+	}
+}
+
+// So it is with one that waits to be sent again, after an attempt that was turned away.
+func TestClientLeavesBetweenAttempts(t *testing.T) {
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			full := newStub(t, func(c net.Conn, _ received) bool {
+				_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+				return err == nil
+			})
+			s := newStub(t, echo)
+			l := idleLoop(t, full.address)
+			_, address := entrance(t, l)
+			c := client(t, address, look("left"))
+			l.next(t) // it is sent
+			wait(t, "the first attempt", full.seen)
+			l.next(t) // and turned away: it waits for another server
+			if len(l.requests) != 1 {
+				t.Fatalf("%d requests wait, want 1", len(l.requests))
+			}
+			leave(t, c)
+			l.next(t)
+			l.listAll(t, "ready", full.address, s.address)
+			if len(l.requests) != 0 || len(s.seen)+len(full.seen) > 0 {
+				t.Errorf("%d requests held, %d sent after the client left", len(l.requests), len(s.seen)+len(full.seen))
+			}
+		})
+	}
+}
+
+// heldDial has connections come up when the test says so: each item lets one through.
+func heldDial(u *upstream) (dialling chan string, come chan bool) {
+	dialling, come = make(chan string, 10), make(chan bool, 10)
+	dial := u.dial
+	u.dial = func(_ context.Context, network, address string) (net.Conn, error) { // late, whatever the context says
+		dialling <- address
+		<-come
+		return dial(context.Background(), network, address)
+	}
+	return dialling, come
+}
+
+// Nothing is written for a request whose client has left while its connection was coming up, also where the
+// settings don't let attempts be called off.
+func TestClientLeavesWhileItsConnectionComesUp(t *testing.T) {
+	for name, leave := range ways {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, echo)
+			cfg := testConfig(t, listed(1, "ready", s.address), func(_, settings map[string]any) {
+				settings["caps"].(map[string]any)["may_cancel"] = false
+			})
+			l := loopFor(t, cfg)
+			dialling, come := heldDial(l.upstream)
+			_, address := entrance(t, l)
+			c := client(t, address, look("left"))
+			l.next(t)
+			wait(t, "the call", dialling)
+			leave(t, c)
+			l.next(t) // its client has gone
+			come <- true
+			l.next(t) // the end of its attempt
+			if len(l.requests) != 0 || len(s.seen) > 0 {
+				t.Errorf("%d requests held, %d sent after the client left", len(l.requests), len(s.seen))
+			}
+		})
+	}
+}
+
+// An attempt whose connection comes up after the news that its server drains or has gone is not written there.
+// It has not run, so it goes to another server.
+func TestServerLeavesWhileAConnectionComesUp(t *testing.T) {
+	for _, lifecycle := range []string{"draining", "gone"} {
+		t.Run(lifecycle, func(t *testing.T) {
+			s, other := newStub(t, echo), newStub(t, echo)
+			l := idleLoop(t, s.address)
+			dialling, come := heldDial(l.upstream)
+			_, address := entrance(t, l)
+			c := client(t, address, strings.NewReplacer("GET /look", "POST /entry", "Class: look", "Class: entry",
+				"X-Timeout", "Content-Length: 0\r\nX-Timeout").Replace(look("one")))
+			l.next(t)
+			wait(t, "the first call", dialling)
+			news, err := parseListing([]byte(fmt.Sprintf(`{"generation":2,"reset":false,"instances":[
+				{"instanceId":"s-0","hostPort":%q,"lifecycle":%q},{"instanceId":"s-1","hostPort":%q,"lifecycle":"ready"}]}`,
+				s.address, lifecycle, other.address)), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			l.take(news, policy.ListDelta)
+			come <- true
+			l.next(t) // the attempt has ended as not sent, and the next begins
+			if to := wait(t, "the second call", dialling); to != other.address {
+				t.Errorf("called %s, want the other server", to)
+			}
+			come <- true
+			l.next(t)
+			if res, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || res.StatusCode != http.StatusOK {
+				t.Fatalf("the client: %+v, error %v", res, err)
+			}
+			if len(s.seen) > 0 || len(other.seen) != 1 {
+				t.Errorf("%d requests to the server that leaves, %d to the other, want 0 and 1", len(s.seen), len(other.seen))
+			}
+		})
+	}
+}
+
+// Nor does a queued request, or one that waits to be sent again, go to a server once the news is in.
+func TestNothingNewAfterTheNews(t *testing.T) {
+	for _, lifecycle := range []string{"draining", "gone"} {
+		t.Run(lifecycle, func(t *testing.T) {
+			s := newStub(t, echo)
+			full := newStub(t, func(c net.Conn, _ received) bool {
+				_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+				return err == nil
+			})
+			l := idleLoop(t, full.address)
+			_, address := entrance(t, l)
+			client(t, address, look("again"))
+			l.next(t)
+			l.next(t) // turned away: it waits to be sent again
+			l.listAll(t, lifecycle, full.address, s.address)
+			client(t, address, look("queued"))
+			l.next(t)
+			l.now += idleFor
+			l.b.Wake(l.now)
+			l.settle()
+			if len(l.requests) != 2 || len(s.seen) > 0 || len(full.seen) != 1 {
+				t.Errorf("%d requests wait, %d sent to one server, %d to the other, want 2, 0 and 1 before the news",
+					len(l.requests), len(s.seen), len(full.seen))
+			}
+		})
+	}
+}
+
+// idleFor is longer than the module waits between looks at what it holds, and much shorter than any deadline.
+const idleFor = 200 * time.Millisecond
+
+// What a client has sent behind a request is served in turn, byte by byte in the order that it came, when the
+// answer before it is out: the watch on the client keeps what it has read.
+func TestRequestsBehindARequest(t *testing.T) {
+	release := make(chan struct{})
+	s := newStub(t, func(c net.Conn, r received) bool {
+		<-release
+		return echo(c, r)
+	})
+	side := start(t, nil, s.address)
+	c := client(t, strings.TrimPrefix(side.url, "http://"), look("r0"))
+	const more = 12
+	var behind strings.Builder
+	for i := range more {
+		behind.WriteString(look(fmt.Sprintf("r%d", i+1)))
+	}
+	wait(t, "the first request", s.seen)
+	for text := behind.String(); len(text) > 0; { // in pieces that cut heads anywhere
+		n := min(len(text), 97)
+		write(t, c, text[:n])
+		text = text[n:]
+	}
+	close(release)
+	r := bufio.NewReader(c)
+	for i := range more + 1 {
+		res, err := http.ReadResponse(r, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		body, err := io.ReadAll(res.Body)
+		if want := fmt.Sprintf("done r%d", i); err != nil || string(body) != want {
+			t.Fatalf("answer %d: %s %q, error %v, want %q", i, res.Status, body, err, want)
+		}
+	}
+}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -53,7 +53,7 @@
 func (f *front) server(a *acceptor) *http.Server {
 	return &http.Server{
 		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: clientIdle, MaxHeaderBytes: headerLimit,
-		ConnState: a.state,
+		ConnState: a.state, ConnContext: connContext,
 	}
 }
 
@@ -100,13 +100,17 @@
 	m := &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body}
 	reply := make(chan answer, 1)
 	number := f.loop.ask(q, m, arrived+left, reply)
+	client := watchClient(r.Context())
+	defer client.stop()
 	select {
 	case a := <-reply:
 		a.write(w)
+		return
 	case <-r.Context().Done(): // the client has closed its connection
-		f.loop.gone(number)
-		panic(http.ErrAbortHandler) // net/http's way to close it with no answer
+	case <-client.gone: // or did so behind more that it has sent
 	}
+	f.loop.gone(number)
+	panic(http.ErrAbortHandler) // net/http's way to close it with no answer
 }
 
 // enter takes an id into use. One that is open belongs to another request: upstreams would take a
--- /dev/null
+++ b/internal/sidecar/watch.go
@@ -0,0 +1,103 @@
+package sidecar
+
+import (
+	"context"
+	"net"
+	"time"
+)
+
+// aheadLimit bounds what is read behind a request that waits for its answer. A client that sends more by
+// then is cut off: it would take memory, and its leaving could not be seen.
+const aheadLimit = headerLimit
+
+// watch notices that a client closes its connection while its request waits for an answer. net/http does so
+// only until the client sends something behind that request: it stops reading at the first byte, and a close
+// behind that goes unseen. From there on the watch reads, and keeps what it has read for net/http.
+type watch struct {
+	c     *clientConn
+	gone  chan struct{} // closed once the client has gone
+	start chan struct{} // has an item when net/http has stopped reading
+	quit  chan struct{}
+	ended chan struct{}
+
+	reading bool // under the acceptor's lock, as is quit
+}
+
+type connKey struct{}
+
+// connContext lets the requests on a connection find it.
+func connContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+// watchClient begins to watch the client whose request ctx is of; its body has been read. The watch must be
+// stopped before the handler returns.
+func watchClient(ctx context.Context) *watch {
+	c, _ := ctx.Value(connKey{}).(*clientConn)
+	w := &watch{
+		c: c, gone: make(chan struct{}), start: make(chan struct{}, 1), quit: make(chan struct{}), ended: make(chan struct{}),
+	}
+	c.a.mu.Lock()
+	defer c.a.mu.Unlock()
+	c.watching = w
+	c.takeOver()
+	go w.run()
+	return w
+}
+
+// begin has the watch read. The caller holds the acceptor's lock.
+func (w *watch) begin() {
+	select {
+	case w.start <- struct{}{}:
+	default: // it was told already
+	}
+}
+
+func (w *watch) run() {
+	defer close(w.ended)
+	for !w.enter() {
+		select {
+		case <-w.start:
+		case <-w.quit:
+			return
+		}
+	}
+	buf := make([]byte, 4<<10)
+	for {
+		n, err := w.c.Conn.Read(buf)
+		w.c.ahead = append(w.c.ahead, buf[:n]...)
+		select {
+		case <-w.quit: // the error may be stop's
+			return
+		default:
+		}
+		if err != nil || len(w.c.ahead) > aheadLimit {
+			close(w.gone)
+			return
+		}
+	}
+}
+
+// enter makes the connection the watch's to read, if net/http does not and won't.
+func (w *watch) enter() bool {
+	w.c.a.mu.Lock()
+	defer w.c.a.mu.Unlock()
+	w.reading = w.c.watching == w && w.c.behind && !w.c.reading
+	return w.reading
+}
+
+// stop ends the watch. What it has read is handed to net/http before anything new.
+func (w *watch) stop() {
+	w.c.a.mu.Lock()
+	w.c.watching = nil
+	close(w.quit)
+	reading := w.reading
+	w.c.a.mu.Unlock()
+	if reading {
+		_ = w.c.SetReadDeadline(time.Unix(1, 0)) // ends the read; it fails only on a closed connection, as the read does
+	}
+	<-w.ended
+	if reading {
+		_ = w.c.SetReadDeadline(time.Time{})
+	}
+}
