Close no connection of a client at a stop before its answer, and answer before the kill

Ruled out: the time limit (1.6 s to 6.6 s; the process ended by itself 1 to 1.6 s after each SIGTERM) and answers held (held=0). Lines at fault: sidecar.go, drain. TestRequestOnAnIdleConnectionAfterStop fails with the old drain (seen). Now nothing open is closed: each connection closes with its next answer, new ones are taken to the end, which comes when none is left, or 10 s after the process may have been killed. A request that comes after SIGTERM is due 0.1 s before that kill, so that none is found unanswered, and refused at once when that has passed; without this TestAnswerBeforeTheKill fails (seen). Full refusals of the front say when to come back with jitter, within the longest pause that clients heed.

--- a/internal/sidecar/accept.go
+++ b/internal/sidecar/accept.go
@@ -22,6 +22,7 @@
 	mu    sync.Mutex
 	open  int
 	idle  list.List     // of *clientConn with no open request, longest first
+	left  chan struct{} // to be closed once none is open; nil: nobody waits for that
 	freed chan struct{} // has an item if a connection may have closed or turned idle
 	done  chan struct{}
 	once  sync.Once
@@ -74,6 +75,18 @@
 	return c, nil
 }
 
+// drained returns a channel that is closed once no connection is left. From then on what is accepted may
+// be cut off.
+func (a *acceptor) drained() <-chan struct{} {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.left = make(chan struct{})
+	if a.open == 0 {
+		close(a.left)
+	}
+	return a.left
+}
+
 // room makes room for one more, or tells how long to wait before it is worth another look.
 func (a *acceptor) room() (wait time.Duration, ok bool) {
 	a.mu.Lock()
@@ -100,7 +113,13 @@
 		return
 	}
 	c.closed = true
-	a.open--
+	if a.open--; a.open == 0 && a.left != nil {
+		select {
+		case <-a.left: // closed before
+		default:
+			close(a.left)
+		}
+	}
 	a.busy(c)
 	a.signal()
 }
--- a/internal/sidecar/endings_test.go
+++ b/internal/sidecar/endings_test.go
@@ -295,3 +295,73 @@
 		}
 	}
 }
+
+// stopping is a sidecar that has been told to end.
+func stopping(t *testing.T, side *running) {
+	t.Helper()
+	side.stop()
+	for {
+		if res, _ := do(t, side.request(t, "GET", "/up", "")); res.StatusCode == http.StatusServiceUnavailable {
+			return
+		}
+	}
+}
+
+// Clients send on every connection that stays open after SIGTERM. None is closed under them: each is answered
+// and closes then, and the sidecar ends with the last.
+func TestRequestOnAnIdleConnectionAfterStop(t *testing.T) {
+	s := newStub(t, echo)
+	side := start(t, nil, s.address)
+	address := strings.TrimPrefix(side.url, "http://")
+	used := client(t, address, look("before"))
+	r := bufio.NewReader(used)
+	if res, err := http.ReadResponse(r, nil); err != nil || res.Close {
+		t.Fatalf("before the stop: %+v, error %v", res, err)
+	} else if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	half := look("half")
+	begun := client(t, address, half[:40])
+	wait(t, "the first request", s.seen)
+	stopping(t, side)
+	select {
+	case err := <-side.ended:
+		t.Fatalf("ended (%v) with connections open", err)
+	default:
+	}
+	write(t, used, look("after"))
+	write(t, begun, half[40:])
+	for name, r := range map[string]*bufio.Reader{"idle": r, "begun": bufio.NewReader(begun)} {
+		if res, err := http.ReadResponse(r, nil); err != nil || res.StatusCode != http.StatusOK || !res.Close {
+			t.Errorf("on the %s connection: %+v, error %v, want 200 and the connection closed", name, res, err)
+		}
+	}
+	if err := wait(t, "the end", side.ended); err != nil {
+		t.Errorf("ended with %v", err)
+	}
+}
+
+// A request that comes after SIGTERM has its answer before the process may be killed, though servers hang; one
+// that comes when that is about to be is refused at once and never sent.
+func TestAnswerBeforeTheKill(t *testing.T) {
+	s := newStub(t, silent)
+	l := idleLoop(t, s.address)
+	f, address := entrance(t, l)
+	f.until.Store(int64(l.clock.now() + generous/2))
+	client(t, address, look("in time"))
+	l.next(t)
+	for _, r := range l.requests {
+		if r.deadline != time.Duration(f.until.Load()) {
+			t.Errorf("it is answered by %v, want by %v", r.deadline, time.Duration(f.until.Load()))
+		}
+	}
+	f.until.Store(1)
+	c := client(t, address, look("late"))
+	res, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || res.StatusCode != http.StatusServiceUnavailable || !res.Close || res.Header.Get("Retry-After") == "" {
+		t.Errorf("the late one: %+v, error %v, want 503, when to come back, and the connection closed", res, err)
+	}
+	if len(l.events) > 0 || len(l.requests) != 1 {
+		t.Errorf("%d events, %d requests: the late one was taken on", len(l.events), len(l.requests))
+	}
+}
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/textproto"
 	"strconv"
@@ -40,6 +41,7 @@
 	held  atomic.Int64 // requests with no answer yet
 	bytes atomic.Int64 // of their bodies
 	ready atomic.Bool  // what GET /up tells
+	until atomic.Int64 // once a stop is asked for: when it may be killed, in the clock's time; 0 before
 
 	mu   sync.Mutex
 	open map[string]bool // ids of the requests that have no answer yet
@@ -57,6 +59,13 @@
 	}
 }
 
+// closing has a connection close with its answer, once a stop is asked for.
+func (f *front) closing(w http.ResponseWriter) {
+	if f.until.Load() != 0 {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // rejection is why a request can't be taken on: an answer for its client alone.
 type rejection struct {
 	status int
@@ -66,6 +75,7 @@
 func (f *front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.clock.now() // the client's time began when it sent, so before the body is read
 	if r.URL.Path == "/up" && r.Method == http.MethodGet && len(r.TransferEncoding) == 0 && r.ContentLength == 0 {
+		f.closing(w)
 		if !f.ready.Load() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
@@ -93,17 +103,25 @@
 	defer f.held.Add(-1)
 	defer f.bytes.Add(-size)
 	held, bytes := f.held.Add(1), f.bytes.Add(size)
-	if f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen) || bytes > f.cfg.bodyBytes() {
-		refuse(w, time.Second)
+	// One that comes once a stop is asked for must have its answer before the process may be killed.
+	deadline := arrived + left
+	if until := time.Duration(f.until.Load()); until != 0 {
+		deadline = min(deadline, until)
+	}
+	if f.cfg.MostOpen > 0 && held > int64(f.cfg.MostOpen) || bytes > f.cfg.bodyBytes() || deadline <= f.clock.now() {
+		f.closing(w)
+		pause := time.Duration(float64(time.Second) * (0.5 + rand.Float64())) // spread: not all come back at once
+		refuse(w, min(pause, f.cfg.Policy.MaxRetryAfter))
 		return
 	}
 	m := &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body}
 	reply := make(chan answer, 1)
-	number := f.loop.ask(q, m, arrived+left, reply)
+	number := f.loop.ask(q, m, deadline, reply)
 	client := watchClient(r.Context())
 	defer client.stop()
 	select {
 	case a := <-reply:
+		f.closing(w)
 		a.write(w)
 		return
 	case <-r.Context().Done(): // the client has closed its connection
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -12,7 +12,15 @@
 
 const (
 	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
-	exitMargin = 600 * time.Millisecond // more than the longest deadline that may pass until the end
+
+	// The process may be killed once the longest deadline, or 3 s if that is longer, and 0.7 s more have
+	// passed since then. Answers are due a little before.
+	killDeadline = 3 * time.Second
+	killAfter    = 700 * time.Millisecond
+	killMargin   = 100 * time.Millisecond
+
+	// Where it is not killed, idle connections are closed so long after that: by then none is to be expected.
+	unkilledFor = 10 * time.Second
 )
 
 // Run listens and serves until ctx ends and everything taken by then is answered. Each signal on
@@ -60,22 +68,29 @@
 		case <-reload:
 			d.reload(cfg.Path)
 		case <-ctx.Done():
-			return f.drain(server, cfg.Longest)
+			return f.drain(accepted, server, cfg.Longest)
 		}
 	}
 }
 
-// drain ends the service without losing a request. Clients still connect for a while, and send on
-// what they have: so the listener stays open at first, and every connection closes with its next
-// answer, or at once if it is idle (a request that crosses this is sent again on a new one).
-// Shutdown at once would close the listener under those that are still coming.
-func (f *front) drain(server *http.Server, longest time.Duration) error {
-	end, cancel := context.WithTimeout(context.Background(), longest+exitMargin)
-	defer cancel()
+// drain ends the service without losing a request. It ends no connection that is open: clients send on those
+// for as long as they stay, and what crosses a close is lost where nobody listens for new ones any more. So
+// each connection closes with its next answer, new ones are taken all the while, and the end comes when
+// none is left. Idle ones hold it up until long after it may be killed.
+func (f *front) drain(a *acceptor, server *http.Server, longest time.Duration) error {
 	slog.Info("stopping", "held", f.held.Load())
+	kill := min(longest, killDeadline) + killAfter
+	f.until.Store(int64(f.clock.now() + kill - killMargin))
 	f.ready.Store(false)
-	server.SetKeepAlivesEnabled(false)
-	time.Sleep(lingerTime)
+	unkilled := time.NewTimer(kill + unkilledFor)
+	defer unkilled.Stop()
+	<-time.After(lingerTime)
+	select {
+	case <-a.drained():
+	case <-unkilled.C:
+	}
+	end, cancel := context.WithTimeout(context.Background(), longest)
+	defer cancel()
 	err := server.Shutdown(end)
 	slog.Info("stopped", "held", f.held.Load())
 	if errors.Is(err, context.DeadlineExceeded) && f.held.Load() == 0 {
