Measure a crowd by what answers take at the least, so that long work is none

Median answer 0.5 s of aims of 0.8 to 2 s with no queue at the servers. Now each balancer learns what answers take while servers are least crowded, a least mean of four that drifts up over 2048 answers. A crowd begins at eight squares of that share of the aim (0.42 at most) or at 0.3 as before, whichever is more, and servers bear 1.5 times what the quotas hold in that time, or 1.7 as before. TestLongWorkIsNoCrowd fails without the change (5 of 6 sent; seen).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,11 @@
 	admitFree  = 1.5                   // and this many requests, or a light balancer refuses after one failure
 	admitOver  = 1.25                  // aims that lately lasts: nearly all that is answered in time falls in it
 	bearable   = 1.7                   // requests for each server that slots may come to, before all ease
+	bearFor    = 1.5                   // and at least so many times what quotas hold in an answer's least time
+	crowdFor   = 8.0                   // or its share's mean square, so many squares of its least mean,
+	crowdLimit = 0.42                  // which never counts for more than this share
+	leastOver  = 4                     // answers that such a mean is over: fewer tell of one slow request
+	leastDrift = 2048                  // answers in which its least grows by e
 	wholeLater = 1.7                   // the wall over all attempts begins at this multiple of a server's
 	farTurns   = 0.25                  // other zones' servers have this share of turns, if crossing is priced
 	failStrain = 8.0                   // a failure counts as an answer that took so many times the usual
@@ -469,9 +474,31 @@
 
 // ease is the share of its portion that crowding leaves. Where the slots of all balancers together are
 // more than servers can bear, each gives way so many times sooner: then they all do before servers choke.
+//
+// Answers that take a large share of the aim when nobody crowds are no crowd: the limit is then some times
+// what they take at the least, and servers bear what the quotas hold in that time (Little's law).
 func (b *Balancer) ease(used float64) float64 {
-	over := float64(b.slots*b.cfg.Balancers) / (bearable * float64(max(1, b.most)))
-	return min(1, crowdedAt*crowdedAt/max(used*max(1, over), 1e-4))
+	servers, share := float64(max(1, b.most)), b.unloaded.leastShare
+	bears := max(bearable, bearFor*b.quota*b.unloaded.least.Seconds()/servers)
+	over := float64(b.slots*b.cfg.Balancers) / (bears * servers)
+	limit := max(crowdedAt*crowdedAt, min(crowdFor*share*share, crowdLimit*crowdLimit))
+	return min(1, limit/max(used*max(1, over), 1e-4))
+}
+
+// learn takes the time of an answer and the share of its aim that it is. The least drifts up, as what it
+// was may hold no more; slowly, or a crowd that stays would pass for what answers take.
+func (u *unloaded) learn(took time.Duration, share float64) {
+	u.answers = min(u.answers+1, leastOver)
+	u.mean += (took - u.mean) / time.Duration(u.answers)
+	u.meanShare += (share - u.meanShare) / float64(u.answers)
+	switch {
+	case u.answers < leastOver: // too few to tell
+	case u.least == 0:
+		u.least, u.leastShare = u.mean, u.meanShare
+	default:
+		u.least = min(u.mean, u.least+u.least/leastDrift)
+		u.leastShare = min(u.meanShare, u.leastShare+u.leastShare/leastDrift)
+	}
 }
 
 // cut picks the servers to take turns among. A thousand balancers of few requests each would hold
@@ -548,6 +575,7 @@
 	case Served:
 		x = min(x, float64(took)/float64(r.class.pace))
 		r.class.pace += (took - r.class.pace) / 16
+		b.unloaded.learn(took, float64(took)/float64(r.class.Aim))
 		b.pace += (took - b.pace) / 32
 		if s.silent > 0 && s.strain > failStrain/2 && now-s.silent > time.Second { // restarted, maybe
 			s.warmAt = max(s.warmAt, now+b.cfg.ColdTime)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -388,6 +388,43 @@
 	}
 }
 
+// Guards against a measure made for one deployment: where answers take half of the aim on servers that nobody
+// crowds, that share is no reason to hold requests back. Where it is many times what they take at the least, it is.
+func TestLongWorkIsNoCrowd(t *testing.T) {
+	cfg := testConfig()
+	cfg.Balancers = 1
+	aim := cfg.Classes[safeClass].Aim
+	for _, c := range []struct {
+		name        string
+		least, took time.Duration
+		want        int
+	}{
+		{"long work", aim * 27 / 50, aim * 27 / 50, 6},
+		{"a crowd", aim / 9, aim * 2 / 3, 4},
+	} {
+		b, h := start(t, cfg, ready(1, 2, 3, 4, 5, 6))
+		now := time.Duration(0)
+		answer := func(id RequestID, took time.Duration) {
+			ask(b, now, id, safeClass)
+			now += took
+			end(b, now, id, 0, Served)
+		}
+		for id := range RequestID(20) {
+			answer(100+id, c.least)
+		}
+		for id := range RequestID(40) {
+			answer(200+id, c.took)
+		}
+		before := len(h.sends)
+		for id := range RequestID(6) {
+			ask(b, now, id, safeClass)
+		}
+		if sent := len(h.sends) - before; sent != c.want {
+			t.Errorf("%s: %d of 6 requests sent, want %d", c.name, sent, c.want)
+		}
+	}
+}
+
 // Guards against all walls together let servers pass into their slower state.
 func TestReportedLoadWallsTheFleet(t *testing.T) {
 	cfg := testConfig()
--- a/policy/state.go
+++ b/policy/state.go
@@ -94,6 +94,14 @@
 	asked   recent
 }
 
+// unloaded is what answers take while servers are least crowded: the least of a mean over the latest ones.
+type unloaded struct {
+	answers     int // that the mean is over
+	mean, least time.Duration
+	// the same as shares of the classes' aims
+	meanShare, leastShare float64
+}
+
 // Balancer makes the decisions of one sidecar.
 type Balancer struct {
 	cfg      Config
@@ -115,6 +123,7 @@
 	arc      []*server     // whom turns are taken among
 	crowd    float64       // mean square of the share of the aim that answers take, lately
 	crowdAt  time.Duration // when it was taken
+	unloaded unloaded
 	reach    float64       // the weight in it
 	rate     float64       // requests a second, lately
 	rateAt   time.Duration // when it was taken
