Ask for the list within 1.5 s of a failed call, and beside calls that hang

Seen: after failed calls the pause grew to 4 s x 1.5 = 6 s (policy/policy.go: backoff, lastPause), and a call could then take 6 s more (discovery.go: listTime) where discovery hung as it was made: up to 12 s from its return, where a change counts as told after 6 s. A second fault showed in the test: net/http's client sends a GET again by itself when a kept connection is reset. A watch that was reset was so opened anew unseen, and where discovery was silent by then nobody learned of it until that watch's own end, up to 20 s later. Ruled out: the silence clock of watches (TestSilentWatchIsReadInTime), the loop's turn (one event).

Design: the module asks again 0.5 to 1.5 s after the call before began, so that one that failed late is not paid for twice. A call that is not to wait has another made beside it every 2 s (0.5 s where lists are pushed, as those count at once), six at most, and the first answer holds: giving calls up early instead would lose lists that come late. That leaves 4 s of the 6 s for the turn at discovery. Calls go over a connection of our own, which nobody sends on again.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bufio"
 	"context"
 	"encoding/json"
 	"errors"
@@ -21,7 +22,9 @@
 const (
 	watchMost  = 20 * time.Second // how long discovery may hold a watch at most, and half as long at least
 	firstWait  = time.Millisecond // and the first call, from a list held since before: that is not to wait
-	listTime   = 6 * time.Second  // how long it may take over the whole list
+	listTime   = 6 * time.Second  // how long it may take over a call that is not to wait,
+	callAgain  = 2 * time.Second  // and after this another is made beside it: see fetch
+	callsMost  = 6                // so many are out at most: they take descriptors
 	firstRetry = 200 * time.Millisecond
 	lastRetry  = 2 * time.Second // with jitter, well under the 6 s after which a drain counts as told
 	listLimit  = 8 << 20         // bytes of one answer; far above any real list
@@ -111,10 +114,11 @@
 	asked  chan struct{} // where the list must be asked for: the module did
 	heard  func(listing)
 	failed func()
-	client http.Client
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 
 	watch     func() time.Duration // how long the next watch may be held
 	silence   time.Duration        // and how long its answer may take besides
+	again     time.Duration        // a call with no answer for so long is made again
 	lastRetry time.Duration        // the longest pause after a failure, where lists are pushed
 
 	version int64 // of the list that is held, at the address that is followed; below 0: none, or not to be trusted
@@ -122,22 +126,26 @@
 	mu      sync.Mutex
 	address string
 	moved   context.CancelFunc // ends what is under way with the address before
+	idle    net.Conn           // kept for the next call; nil: none is
+	idleAt  string             // the address that it is to
 }
 
 func newDiscovery(cfg *Config, heard func(listing), failed func()) *discovery {
 	d := &discovery{address: cfg.Discovery, zones: cfg.Zones, heard: heard, failed: failed, version: -1,
-		watch: watchTime, silence: silenceAfter, lastRetry: lastRetry}
+		watch: watchTime, silence: silenceAfter, again: callAgain, lastRetry: lastRetry}
 	if cfg.DrainGrace > 0 { // where lists are pushed, what has changed counts as told at once
 		d.lastRetry = min(d.lastRetry, cfg.DrainGrace/4)
 	}
+	if !cfg.Policy.AskList {
+		d.again = min(d.again, 2*d.lastRetry)
+	}
 	if len(cfg.Known.servers) > 0 {
 		d.version = cfg.Known.version
 	}
 	if cfg.Policy.AskList {
 		d.asked = make(chan struct{}, 1)
 	}
-	// Calls to discovery change nothing there, so the standard client may repeat one on a new connection.
-	d.client.Transport = &http.Transport{MaxIdleConns: 1, DisableCompression: true}
+	d.dial = (&net.Dialer{KeepAlive: -1}).DialContext // as with servers
 	return d
 }
 
@@ -207,15 +215,20 @@
 		}
 		if moved = following.Err() != nil; moved {
 			d.version = -1
-			d.client.CloseIdleConnections()
+			d.hangUp()
 			pause = first
 			continue
 		}
 		slog.Warn("discovery", "error", err)
-		d.failed()
 		if d.asked != nil {
+			select {
+			case <-d.asked: // meanwhile: the call under way was to answer that
+			default:
+			}
+			d.failed()
 			continue
 		}
+		d.failed()
 		if heard {
 			pause = first
 		}
@@ -235,16 +248,20 @@
 func (d *discovery) follow(ctx context.Context, address string) (heard bool, err error) {
 	silent := false
 	for {
-		query, limit, watching := "", listTime, false
+		query, watching := "", false
+		var l listing
+		var err error
 		switch {
 		case d.version >= 0 && heard && !silent:
 			wait := d.watch()
-			query = fmt.Sprintf("?index=%d&wait=%d", d.version, wait.Milliseconds())
-			limit, watching = wait+d.silence, true
+			query, watching = fmt.Sprintf("?index=%d&wait=%d", d.version, wait.Milliseconds()), true
+			l, err = d.hold(ctx, address, query, wait+d.silence)
 		case d.version >= 0:
 			query = fmt.Sprintf("?index=%d&wait=%d", d.version, firstWait.Milliseconds())
+			fallthrough
+		default:
+			l, err = d.fetch(ctx, address, query)
 		}
-		l, err := d.call(ctx, address, query, limit)
 		if silent = watching && errors.Is(err, context.DeadlineExceeded); silent {
 			slog.Warn("discovery", "error", errSilent)
 			continue
@@ -264,30 +281,144 @@
 	}
 }
 
-func (d *discovery) call(ctx context.Context, address, query string, limit time.Duration) (listing, error) {
+// hold makes a call that may wait, and gives it up after limit.
+func (d *discovery) hold(ctx context.Context, address, query string, limit time.Duration) (listing, error) {
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/discovery/hosts"+query, nil)
+	return d.call(ctx, address, query)
+}
+
+// fetch makes a call that is not to wait, and returns the first answer. While none comes it makes it again beside
+// those that are out, each on a connection of its own: one made before discovery could be reached may never be
+// answered, and giving it up early would lose lists that come late. What is told then counts as told 6 s after
+// discovery can be reached; with a new call every 2 s the last 4 s are left for its turn. Where lists are pushed
+// it counts at once, and discovery serves this sidecar alone: there new calls come sooner. It fails once all
+// calls have.
+func (d *discovery) fetch(ctx context.Context, address, query string) (listing, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type answer struct {
+		l   listing
+		err error
+	}
+	answers, out := make(chan answer), 0
+	var ends []context.CancelFunc // of the latest calls
+	begin := func() {
+		if len(ends) == callsMost {
+			ends[0]()
+			ends = ends[1:]
+		}
+		calling, end := context.WithTimeout(ctx, listTime)
+		ends = append(ends, end)
+		out++
+		go func() {
+			defer end()
+			l, err := d.call(calling, address, query)
+			select {
+			case answers <- answer{l, err}:
+			case <-ctx.Done():
+			}
+		}()
+	}
+	begin()
+	again := time.NewTicker(d.again)
+	defer again.Stop()
+	for {
+		select {
+		case a := <-answers:
+			if out--; a.err == nil || out == 0 || errors.Is(a.err, errUnusable) {
+				return a.l, a.err
+			}
+		case <-again.C:
+			begin()
+		case <-ctx.Done():
+			return listing{}, ctx.Err()
+		}
+	}
+}
+
+// call makes one call, over the connection that an earlier one left or over a new one. It is not net/http's client
+// because that calls again by itself when a kept connection breaks: a watch that was reset would be opened again
+// unseen, and what came in between be read only when that ends.
+func (d *discovery) call(ctx context.Context, address, query string) (listing, error) {
+	c, err := d.connect(ctx, address)
 	if err != nil {
 		return listing{}, err
 	}
-	res, err := d.client.Do(req)
+	alive := context.AfterFunc(ctx, func() { c.Close() })
+	l, keep, err := d.converse(c, address, query)
+	if alive() && keep {
+		d.keep(c, address)
+	} else {
+		c.Close()
+	}
+	if err != nil && ctx.Err() != nil {
+		err = ctx.Err() // which is why the connection ended
+	}
+	return l, err
+}
+
+// converse writes a call and reads its answer, and tells whether the connection may be used again.
+func (d *discovery) converse(c net.Conn, address, query string) (l listing, keep bool, err error) {
+	if _, err := fmt.Fprintf(c, "GET /discovery/hosts%s HTTP/1.1\r\nHost: %s\r\n\r\n", query, address); err != nil {
+		return listing{}, false, err
+	}
+	r := bufio.NewReader(io.LimitReader(c, headerLimit+listLimit+1))
+	res, err := http.ReadResponse(r, nil)
+	for n := 0; err == nil && res.StatusCode/100 == 1 && n < interimMost; n++ {
+		res, err = http.ReadResponse(r, nil)
+	}
 	if err != nil {
-		return listing{}, err
+		return listing{}, false, err
 	}
-	defer res.Body.Close()
 	body, err := io.ReadAll(io.LimitReader(res.Body, listLimit+1))
+	keep = err == nil && !res.Close && r.Buffered() == 0
 	switch {
 	case err != nil:
-		return listing{}, err
+		return listing{}, false, err
 	case res.StatusCode != http.StatusOK:
-		return listing{}, fmt.Errorf("answered %s", res.Status)
+		return listing{}, keep, fmt.Errorf("answered %s", res.Status)
 	case len(body) > listLimit:
-		return listing{}, fmt.Errorf("%w: it is too long", errUnusable)
+		return listing{}, false, fmt.Errorf("%w: it is too long", errUnusable)
 	}
-	l, err := parseListing(body, d.zones)
-	if err != nil {
-		return listing{}, fmt.Errorf("%w: %w", errUnusable, err)
+	if l, err = parseListing(body, d.zones); err != nil {
+		return listing{}, keep, fmt.Errorf("%w: %w", errUnusable, err)
+	}
+	return l, keep, nil
+}
+
+// connect returns the connection that was kept, if it still stands, or opens one.
+func (d *discovery) connect(ctx context.Context, address string) (net.Conn, error) {
+	d.mu.Lock()
+	c, at := d.idle, d.idleAt
+	d.idle = nil
+	d.mu.Unlock()
+	if c != nil {
+		if at == address && standing(c) {
+			return c, nil
+		}
+		c.Close()
+	}
+	return d.dial(ctx, "tcp", address)
+}
+
+// keep leaves a connection for the next call. One is enough: calls are seldom out at the same time.
+func (d *discovery) keep(c net.Conn, address string) {
+	d.mu.Lock()
+	before := d.idle
+	d.idle, d.idleAt = c, address
+	d.mu.Unlock()
+	if before != nil {
+		before.Close()
+	}
+}
+
+// hangUp closes the connection that is kept, if any.
+func (d *discovery) hangUp() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.idle != nil {
+		d.idle.Close()
+		d.idle = nil
 	}
-	return l, nil
 }
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -259,7 +259,7 @@
 					}
 				}
 			}
-			d.client.Transport.(*http.Transport).DialContext = func(context.Context, string, string) (net.Conn, error) {
+			d.dial = func(context.Context, string, string) (net.Conn, error) {
 				ours, theirs := net.Pipe()
 				go answer(theirs)
 				return ours, nil
@@ -274,7 +274,7 @@
 			}
 			cancel()
 			<-ended
-			d.client.CloseIdleConnections()
+			d.hangUp()
 		})
 	}
 }
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -335,7 +335,7 @@
 		if c == nil {
 			break
 		}
-		if c.usable() {
+		if standing(c.Conn) {
 			return c, nil
 		}
 		u.mu.Lock()
@@ -366,7 +366,7 @@
 // is to be opened. An answer may bring more than belongs to it, a second copy even, and nothing in it tells
 // whose it is: on a connection that is used again at once it would be read as the next request's answer.
 // So may a server close right after an answer, and a request that crosses this may have run. What has come
-// while the connection rested is found by usable: so it rests for settle at least, and the longest
+// while the connection rested is found by standing: so it rests for settle at least, and the longest
 // rested goes first. At the limit an idle connection to another server makes room.
 func (u *upstream) take(to *host) (*conn, error) {
 	u.mu.Lock()
@@ -488,21 +488,25 @@
 	u.mu.Unlock()
 }
 
-// usable tells whether an idle connection still stands: its server has neither closed or reset it
-// (at its idle time-out, when it drains, when it restarts) nor sent what nobody asked for.
-func (c *conn) usable() bool {
-	raw, err := c.Conn.(*net.TCPConn).SyscallConn()
+// standing tells whether an idle connection still stands: the other side has neither closed or reset it (a server
+// does at its idle time-out, when it drains, when it restarts) nor sent what nobody asked for.
+func standing(c net.Conn) bool {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return true // nothing is known
+	}
+	raw, err := tcp.SyscallConn()
 	if err != nil {
 		return false
 	}
-	standing := false
+	stands := false
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
 		_, err := syscall.Read(int(fd), b[:])
-		standing = err == syscall.EAGAIN
+		stands = err == syscall.EAGAIN
 		return true // never wait
 	})
-	return err == nil && standing
+	return err == nil && stands
 }
 
 // counters are for the log.
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -116,7 +116,7 @@
 	attempt(t, u, s.host, "1", generous)
 	close(hangUp)
 	wait(t, "the server to close", gone)
-	for end := time.Now().Add(generous); u.idle[s.host][0].usable(); time.Sleep(time.Millisecond) {
+	for end := time.Now().Add(generous); standing(u.idle[s.host][0].Conn); time.Sleep(time.Millisecond) {
 		if time.Now().After(end) { // the news has long crossed the loopback
 			t.Fatal("the closed connection passes for usable")
 		}
@@ -269,7 +269,7 @@
 			t.Errorf("ending %v, want %v", ending, policy.Cancelled)
 		}
 		x.cancel() // once more: the connection is not its own any more
-		if list := u.idle[s.host]; i == 0 && (len(list) != 1 || !list[0].usable()) {
+		if list := u.idle[s.host]; i == 0 && (len(list) != 1 || !standing(list[0].Conn)) {
 			t.Fatal("the connection, which nothing was written to, is not kept")
 		}
 		u.close(s.host)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -48,7 +48,7 @@
 	coldPart   = 0.5                   // this much of a cold server's budget is used, the rest left to chance
 
 	firstPause = 250 * time.Millisecond // before the list is asked for again after a failed call,
-	lastPause  = 4 * time.Second        // doubled after each up to this
+	lastPause  = 1 * time.Second        // doubled after each up to this: see List
 )
 
 // New makes a Balancer, or returns an error that names the unusable field.
@@ -553,7 +553,7 @@
 
 // backoff is the pause after n failures, spread so that balancers do not act as one.
 func (b *Balancer) backoff(n int) time.Duration {
-	d := min(firstPause<<min(n, 16), lastPause)
+	d := min(firstPause<<min(n, 16), lastPause, cmp.Or(b.cfg.AskWithin, lastPause))
 	return time.Duration(float64(d) * (0.5 + b.rng.Float64()))
 }
 
@@ -598,10 +598,11 @@
 	s.strain += (x - s.strain) / 4
 }
 
-// List takes news of the server list.
+// List takes news of the server list. After a failed call it is asked for again soon: what changed counts
+// as told 6 s after it can be reached, most of it for a turn. Pauses are from one call's start to the next.
 func (b *Balancer) List(now time.Duration, kind ListKind, entries []Server) {
 	if kind == ListFailed {
-		b.askAt = now + b.backoff(b.askFails)
+		b.askAt = max(now+b.backoff(0), b.askedAt+b.backoff(b.askFails))
 		b.askFails++
 		return
 	}
@@ -641,7 +642,7 @@
 
 // ask subscribes to the list. Without any word it asks again before its silence counts as being told.
 func (b *Balancer) ask(now time.Duration) {
-	b.askAt = now + cmp.Or(b.cfg.AskWithin*3/4, lastPause)
+	b.askedAt, b.askAt = now, now+cmp.Or(b.cfg.AskWithin*3/4, 4*lastPause)
 	b.host.WatchList()
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -134,6 +134,7 @@
 	fadeAt   time.Duration // when the classes' counts were last faded
 	wakeAt   time.Duration
 	askAt    time.Duration // when to ask for the list next; 0: no need
+	askedAt  time.Duration // when it was asked for last
 	askFails int
 	feedFrom int
 	lines    map[uint64]*line // by key
