Ask the client's socket right before an attempt is dialled or written

Seen: that a client has left reaches the module as an event behind all others. With a fraction of a core and much under way (256 events may wait) a first or further attempt could begin well over 0.1 s after the close. Forced in a test by holding that event back: each of four situations, left in six ways, sent the request on (upstream.go: exchange wrote whatever the loop had not yet called off). Ruled out: that the watch on the client misses a close (TestClientLeavesWhileQueued and its like), the wall (TestClientLeavesWhileHeldByTheWall passes without the change).

Design: message.left asks the socket itself with poll and POLLRDHUP, which sees FIN and reset also behind bytes that nobody has read. The goroutine of an attempt does so before it dials and before it writes; such an attempt ends as not sent, and the loop then takes the client as gone. It costs two calls of poll an attempt. golang.org/x/sys/unix is a new dependency: package syscall has no portable poll.

--- a/internal/sidecar/endings_test.go
+++ b/internal/sidecar/endings_test.go
@@ -157,7 +157,7 @@
 
 // heldDial has connections come up when the test says so: each item lets one through.
 func heldDial(u *upstream) (dialling chan string, come chan bool) {
-	dialling, come = make(chan string, 10), make(chan bool, 10)
+	dialling, come = make(chan string, 100), make(chan bool, 100)
 	dial := u.dial
 	u.dial = func(_ context.Context, network, address string) (net.Conn, error) { // late, whatever the context says
 		dialling <- address
@@ -193,6 +193,109 @@
 	}
 }
 
+// held takes an event that is not to run yet: the loop is short of CPU.
+func (l *loop) held(t *testing.T, what string) func(now time.Duration) {
+	t.Helper()
+	return wait(t, what, l.events)
+}
+
+// The word that a client has left may wait behind much else, where CPU is short. What would be sent for it meanwhile
+// is not: a first attempt, one from the queue, a further one, or one whose connection has just come up.
+func TestClientLeavesWhileTheLoopIsBehind(t *testing.T) {
+	full := func(c net.Conn, _ received) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	for name, leave := range ways {
+		for _, at := range []string{"first", "queued", "between attempts", "dialling"} {
+			t.Run(at+"/"+name, func(t *testing.T) {
+				s, turnsAway := newStub(t, echo), newStub(t, full)
+				l := idleLoop(t, s.address)
+				dialling, come := heldDial(l.upstream)
+				come <- true
+				_, address := entrance(t, l)
+				var ask, gone func(now time.Duration)
+				switch at {
+				case "first":
+					c := client(t, address, look("left"))
+					ask = l.held(t, "the request")
+					leave(t, c)
+					gone = l.held(t, "the client's leaving")
+					ask(l.clock.now())
+				case "queued":
+					l.listAll(t, "draining", s.address)
+					c := client(t, address, look("left"))
+					l.next(t)
+					leave(t, c)
+					gone = l.held(t, "the client's leaving")
+					l.listAll(t, "ready", s.address)
+				case "between attempts":
+					l.listAll(t, "ready", turnsAway.address)
+					c := client(t, address, look("left"))
+					l.next(t)
+					wait(t, "the first attempt", turnsAway.seen)
+					wait(t, "the first call", dialling)
+					l.next(t) // turned away: it waits for another server
+					come <- true
+					leave(t, c)
+					gone = l.held(t, "the client's leaving")
+					l.listAll(t, "ready", turnsAway.address, s.address)
+				case "dialling":
+					<-come
+					c := client(t, address, look("left"))
+					l.next(t)
+					wait(t, "the call", dialling)
+					leave(t, c)
+					gone = l.held(t, "the client's leaving")
+					come <- true
+				}
+				l.next(t) // the end of the attempt that was not to be
+				if len(l.requests) != 0 {
+					t.Errorf("%d requests held, want none", len(l.requests))
+				}
+				gone(l.clock.now())
+				l.settle()
+				if len(s.seen)+len(turnsAway.seen) > 0 || at != "dialling" && len(dialling) > 0 {
+					t.Errorf("%d sent and %d connections opened for a client that has gone",
+						len(s.seen)+len(turnsAway.seen), len(dialling))
+				}
+			})
+		}
+	}
+}
+
+// So it is where many leave at once, each with an attempt whose connection comes up before the loop has heard of it.
+func TestManyClientsLeaveAtOnce(t *testing.T) {
+	const many = 60
+	s := newStub(t, echo)
+	l := idleLoop(t, s.address)
+	dialling, come := heldDial(l.upstream)
+	_, address := entrance(t, l)
+	var clients []*net.TCPConn
+	for i := range many {
+		clients = append(clients, client(t, address, look(fmt.Sprintf("left%d", i))))
+		l.next(t)
+		wait(t, "the call", dialling)
+	}
+	var gone []func(now time.Duration)
+	for _, c := range clients {
+		c.Close()
+		gone = append(gone, l.held(t, "the client's leaving"))
+	}
+	for range many {
+		come <- true
+	}
+	for range many {
+		l.next(t)
+	}
+	for _, event := range gone {
+		event(l.clock.now())
+	}
+	if len(l.requests) != 0 || len(s.seen) > 0 {
+		t.Errorf("%d requests held, %d sent after their clients left", len(l.requests), len(s.seen))
+	}
+}
+
 // An attempt whose connection comes up after the news that its server drains or has gone is not written there.
 // It has not run, so it goes to another server.
 func TestServerLeavesWhileAConnectionComesUp(t *testing.T) {
--- a/internal/sidecar/front.go
+++ b/internal/sidecar/front.go
@@ -114,11 +114,11 @@
 		refuse(w, min(pause, f.cfg.Policy.MaxRetryAfter))
 		return
 	}
-	m := &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body}
-	reply := make(chan answer, 1)
-	number := f.loop.ask(q, m, deadline, reply)
 	client := watchClient(r.Context())
 	defer client.stop()
+	m := &message{method: r.Method, uri: r.RequestURI, host: r.Host, header: endToEnd(r.Header), body: body, left: client.left}
+	reply := make(chan answer, 1)
+	number := f.loop.ask(q, m, deadline, reply)
 	select {
 	case a := <-reply:
 		f.closing(w)
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -187,13 +187,19 @@
 // gone takes that a request's client has closed its connection.
 func (l *loop) gone(id policy.RequestID) {
 	l.post(func(now time.Duration) {
-		if r := l.requests[id]; r != nil && !r.over {
-			l.finish(id, r, nil)
-			l.b.ClientGone(now, id)
+		if r := l.requests[id]; r != nil {
+			l.leave(now, id, r)
 		}
 	})
 }
 
+func (l *loop) leave(now time.Duration, id policy.RequestID, r *request) {
+	if !r.over {
+		l.finish(id, r, nil)
+		l.b.ClientGone(now, id)
+	}
+}
+
 // finish ends a request with its one answer, or with none where the client has gone. Attempts of it that
 // are still to be written are not: whether others may be called off is for the module and the settings.
 func (l *loop) finish(id policy.RequestID, r *request, a *answer) {
@@ -227,6 +233,9 @@
 func (l *loop) ended(id policy.RequestID, number int, res result) {
 	r := l.requests[id]
 	r.timedOut = res.ending == policy.TimedOut
+	if res.ending == policy.NotSent && r.message.gone() { // as was found before it was written: no further one
+		l.leave(l.now, id, r)
+	}
 	if res.ending == policy.Served && !r.over {
 		l.finish(id, r, &answer{status: http.StatusOK, header: res.header, body: res.body})
 	}
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -35,8 +35,12 @@
 	host   string
 	header http.Header // end-to-end ones; not changed any more
 	body   []byte
+	left   func() bool // tells whether its client has closed its connection; nil: nobody knows
 }
 
+// gone tells whether nobody waits for the answer any more.
+func (m *message) gone() bool { return m.left != nil && m.left() }
+
 // result is how an attempt ended.
 type result struct {
 	ending policy.Ending
@@ -247,10 +251,19 @@
 		}
 		return policy.NoConnection
 	}
+	// The word of a client's leaving may be long in coming, where CPU is short and much is under way: what is about
+	// to be dialled or written looks for itself.
+	if m.gone() {
+		x.withhold(policy.NotSent)
+		return nil, nil, unsent(nil)
+	}
 	c, err := u.connect(x, to, until)
 	if err != nil {
 		return nil, nil, unsent(err)
 	}
+	if m.gone() {
+		x.withhold(policy.NotSent)
+	}
 	if !x.begin(true, func() { c.Conn.Close() }) { // given up in the meantime: nothing may go out any more
 		u.keepIdle(to, c)
 		return nil, nil, unsent(nil)
--- a/internal/sidecar/watch.go
+++ b/internal/sidecar/watch.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // aheadLimit bounds what is read behind a request that waits for its answer. A client that sends more by
@@ -45,6 +48,31 @@
 	return w
 }
 
+// left tells whether the client has closed its connection or ended its sending on it, also behind bytes that nobody
+// has read yet and before any goroutine has had the time to notice.
+func (w *watch) left() bool {
+	select {
+	case <-w.gone:
+		return true
+	default:
+	}
+	socket, ok := w.c.Conn.(syscall.Conn)
+	if !ok {
+		return false // nothing is known
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return true
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(fds, 0)
+		left = err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return left || err != nil // closed on our side
+}
+
 // begin has the watch read. The caller holds the acceptor's lock.
 func (w *watch) begin() {
 	select {
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -99,6 +99,17 @@
 	return n
 }
 
+// sentFor counts the attempts of a request.
+func (h *fakeHost) sentFor(id RequestID) int {
+	n := 0
+	for _, s := range h.sends {
+		if s.id == id {
+			n++
+		}
+	}
+	return n
+}
+
 // The classes of testConfig.
 const (
 	safeClass = iota
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -388,6 +388,36 @@
 	}
 }
 
+// What the wall holds back for a client that leaves is not sent when the wall opens: not even its place is used.
+func TestClientLeavesWhileHeldByTheWall(t *testing.T) {
+	cfg := testConfig()
+	cfg.Balancers = 1
+	b, h := start(t, cfg, ready(1, 2, 3, 4, 5, 6))
+	b.crowd = 0.36 // answers take 0.6 of the aim
+	for id := range RequestID(6) {
+		ask(b, 0, id, safeClass)
+	}
+	sends, held := len(h.sends), b.Counters().Held
+	if held == 0 {
+		t.Fatal("nothing was held back")
+	}
+	for id := range RequestID(6) {
+		if h.sentFor(id) == 0 {
+			b.ClientGone(ms, id)
+		}
+	}
+	b.crowd = 0
+	for id := range RequestID(6) {
+		if h.sentFor(id) > 0 {
+			end(b, 2*ms, id, 0, Served)
+		}
+	}
+	b.Wake(200 * ms)
+	if len(h.sends) != sends || len(b.requests) != 0 {
+		t.Errorf("%d sends after the clients left, %d requests kept", len(h.sends)-sends, len(b.requests))
+	}
+}
+
 // Guards against a measure made for one deployment: where answers take half of the aim on servers that nobody
 // crowds, that share is no reason to hold requests back. Where it is many times what they take at the least, it is.
 func TestLongWorkIsNoCrowd(t *testing.T) {
