--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -3,14 +3,19 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net"
 	"net/http"
 	"os"
+	"syscall"
 	"time"
 )
 
 const (
+	listenFor   = 8 * time.Second // an address in use is waited for: a restart is to be ready within 10 s
+	listenEvery = 20 * time.Millisecond
+
 	lingerTime = 500 * time.Millisecond // new connections go on coming for so long after a stop is asked for
 
 	// The process may be killed once the longest deadline, or 3 s if that is longer, and 0.7 s more have
@@ -26,13 +31,37 @@
 // Run listens and serves until ctx ends and everything taken by then is answered. Each signal on
 // reload has it read its configuration again.
 func Run(ctx context.Context, cfg *Config, reload <-chan os.Signal) error {
-	listener, err := net.Listen("tcp", cfg.Listen)
+	listener, err := listen(ctx, cfg.Listen)
 	if err != nil {
-		return err
+		return fmt.Errorf("config: listen: %w", err)
 	}
 	return serve(ctx, cfg, listener, reload)
 }
 
+// listen takes an address. One that is in use is waited for: the process before this one may be ending still.
+func listen(ctx context.Context, address string) (net.Listener, error) {
+	until := time.NewTimer(listenFor)
+	defer until.Stop()
+	again := time.NewTicker(listenEvery)
+	defer again.Stop()
+	for n := 0; ; n++ {
+		l, err := net.Listen("tcp", address)
+		if !errors.Is(err, syscall.EADDRINUSE) {
+			return l, err
+		}
+		if n == 0 {
+			slog.Warn("the address to listen on is in use, it is waited for", "listen", address)
+		}
+		select {
+		case <-again.C:
+		case <-until.C:
+			return nil, err
+		case <-ctx.Done():
+			return nil, err
+		}
+	}
+}
+
 // serve wires the parts and starts them.
 func serve(ctx context.Context, cfg *Config, listener net.Listener, reload <-chan os.Signal) error {
 	c := newClock()
--- /dev/null
+++ b/policy/cold_test.go
@@ -0,0 +1,190 @@
+package policy
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+)
+
+// coldFleet plays balancers that send to the same servers, some of which have just started, and counts what all of
+// them together send to each of these. Attempts end well after coldAnswer, but those that fail.
+type coldFleet struct {
+	processes, warm, cold int
+	load                  float64 // what is asked, as a share of the quotas
+	spread                float64 // standard deviation of the logarithm of the balancers' shares of it; 0: even ones
+	fails                 float64 // share of attempts at warm servers that are turned away, to be sent again
+	unknown               bool    // no tenants, so no quotas tell what servers can do
+	restarted             bool    // all balancers begin anew when the servers have started, with a list that names them
+}
+
+const (
+	coldStep   = 5 * ms
+	coldAnswer = 30 * ms
+	coldWindow = 2 * time.Second // overload_for_ms
+	coldPerSec = 9.0             // requests a second that a warm server can do; quotas are 0.7 to 0.95 of all that
+	coldQuota  = 0.95
+)
+
+// worst returns the most that a cold server got in any window, as a share of what it bears: its budget and what is put
+// down to chance. Above 1 it falls. The budget is that of the window's beginning, when the server is coldest.
+func (f coldFleet) worst(t *testing.T, seed uint64) (worst float64, further int) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(seed, 9))
+	all := f.warm + f.cold
+	cfg := fleetConfig(f.processes)
+	cfg.AskList, cfg.CrossZonePrice = false, 0
+	total := coldQuota * coldPerSec * float64(all)
+	for i, share := range []float64{0.42, 0.33, 0.25} {
+		cfg.Tenants[i].Quota = share * total
+	}
+	if f.unknown {
+		cfg.Tenants = nil
+	}
+	started := 10 * time.Second // on the balancers' clock
+	var list []Server
+	for i := range all {
+		s := Server{ID: ServerID(0x9e3779b97f4a7c15 * uint64(i+1)), State: Ready, Weight: 1}
+		list = append(list, s)
+	}
+	isCold := map[ServerID]int{}
+	fresh := slices.Clone(list[:f.cold])
+	for i := range fresh {
+		fresh[i].Started = started
+		isCold[fresh[i].ID] = i
+	}
+	rates, sum := make([]float64, f.processes), 0.0
+	for i := range rates {
+		rates[i] = math.Exp(f.spread * rng.NormFloat64())
+		sum += rates[i]
+	}
+	type process struct {
+		b    *Balancer
+		h    *fakeHost
+		seen int
+	}
+	var processes []*process
+	begin := started - 4*time.Second
+	if f.restarted {
+		begin = started + 200*ms
+	}
+	for i := range f.processes {
+		cfg.Index = i
+		h := newFakeHost()
+		b, err := New(cfg, seed<<20+uint64(i), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Start(begin)
+		if f.restarted {
+			b.List(begin, ListCached, append(slices.Clone(fresh), list[f.cold:]...))
+		} else {
+			b.List(begin, ListCached, list[f.cold:])
+		}
+		processes = append(processes, &process{b: b, h: h})
+	}
+	type ending struct {
+		at   time.Duration
+		p    *process
+		id   RequestID
+		n    int
+		ends Ending
+	}
+	var endings []ending
+	attempts := map[RequestID]int{}
+	arrived := make([][]time.Duration, f.cold)
+	id := RequestID(0)
+	told := false
+	for now := begin; now < started+cfg.ColdTime; now += coldStep {
+		if !f.restarted && !told && now >= started+300*ms {
+			told = true
+			for _, p := range processes {
+				p.b.List(now, ListDelta, fresh)
+			}
+		}
+		for len(endings) > 0 && endings[0].at <= now {
+			e := endings[0]
+			endings = endings[1:]
+			end(e.p.b, now, e.id, e.n, e.ends)
+		}
+		for i, p := range processes {
+			want := total * f.load * rates[i] / sum * coldStep.Seconds()
+			for want > 0 && rng.Float64() < want {
+				want--
+				p.b.Request(now, Request{ID: id, Class: rng.IntN(2), Tenant: rng.IntN(3), Left: 2 * time.Second})
+				id++
+			}
+			if (now/coldStep+time.Duration(i))%4 == 0 {
+				p.b.Wake(now)
+			}
+		}
+		for _, p := range processes {
+			for ; p.seen < len(p.h.sends); p.seen++ {
+				s := p.h.sends[p.seen]
+				n := attempts[s.id]
+				attempts[s.id]++
+				c, cold := isCold[s.to]
+				e := ending{now + coldAnswer, p, s.id, n, Served}
+				if cold {
+					arrived[c] = append(arrived[c], now)
+					if n > 0 {
+						further++
+					}
+				} else if rng.Float64() < f.fails {
+					e.at, e.ends = now+coldStep, TurnedAway
+				}
+				at, _ := slices.BinarySearchFunc(endings, e.at+1, func(x ending, at time.Duration) int { return int(x.at - at) })
+				endings = slices.Insert(endings, at, e)
+			}
+		}
+	}
+	for _, times := range arrived {
+		for first, last := 0, 0; first < len(times); first++ {
+			for last < len(times) && times[last] < times[first]+coldWindow {
+				last++
+			}
+			age := float64(times[first]-started) / float64(cfg.ColdTime)
+			n := cfg.ColdMultiple * coldPerSec * coldWindow.Seconds() * (cfg.ColdFrom + (1-cfg.ColdFrom)*age)
+			worst = max(worst, float64(last-first)/(n+2*math.Sqrt(n)+2))
+		}
+	}
+	return worst, further
+}
+
+// A cold server falls under the sum of what all balancers send it, so the ramp of each has to hold for all: with
+// few and with many, with even and uneven traffic, in a fleet that has just been restarted and has heard no news
+// yet, and with further attempts as well as first ones.
+func TestColdServersHoldUnderTheSumOfAll(t *testing.T) {
+	for _, processes := range []int{2, 20, 30, 300} {
+		for _, f := range []coldFleet{
+			{warm: 26, cold: 4, load: 1.2},
+			{warm: 26, cold: 4, load: 1.5, spread: 1.5},
+			{warm: 15, cold: 15, load: 1, spread: 1},
+			{warm: 26, cold: 4, load: 1, spread: 1, restarted: true},
+			{warm: 10, cold: 20, load: 1.2, spread: 1, restarted: true},
+			{warm: 20, cold: 10, load: 1, spread: 1, fails: 0.3},
+			{warm: 180, cold: 20, load: 1.2, spread: 1},
+			{warm: 27, cold: 3, load: 2, spread: 1.5, fails: 0.9},
+			{warm: 27, cold: 3, load: 2, spread: 1.5, fails: 0.9, restarted: true},
+			{warm: 27, cold: 3, load: 2, fails: 0.9},
+			{warm: 26, cold: 4, load: 1, spread: 1, unknown: true},
+			{warm: 27, cold: 3, load: 1, spread: 1, fails: 0.3, unknown: true},
+			{warm: 10, cold: 20, load: 1, spread: 1, fails: 0.3, unknown: true, restarted: true},
+		} {
+			f.processes = processes
+			t.Run(fmt.Sprintf("%+v", f), func(t *testing.T) {
+				top, more := math.Inf(-1), 0
+				for seed := range uint64(1 + 60/(processes+20)) { // fewer of the large: there each is a mean already
+					worst, further := f.worst(t, seed)
+					top, more = max(top, worst), more+further
+				}
+				t.Logf("worst %.2f, further %d", top, more)
+				if top > 1 {
+					t.Errorf("a cold server got %.2f times what it bears", top)
+				}
+			})
+		}
+	}
+}
