Write no repeat once repeats are no longer dropped, however late its connection

At fault: policy/policy.go: send judged the window when it decided, upstream.go: exchange wrote whenever the connection had come up. Ruled out: the group (each logged repeat went to the cell of its first attempt).

Design: Host.Send says within what time an attempt has to be on its way (policy/state.go: window); one whose connection is not up by then ends as not sent, and its request as failed. Tests: TestRepeatWhoseConnectionComesUpTooLate, TestRepeatsAreToldTheirWindow, TestRepeatStaysInTheGroupOfOneThatLeft.

--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -75,7 +75,7 @@
 // logEvery is how often an instance's counters go to the log.
 const logEvery = 10 * time.Second
 
-func (i *instance) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (i *instance) Send(id policy.RequestID, to policy.ServerID, timeout, _ time.Duration) {
 	i.host.reply.CallOut(i.number, uint32(id), wire.Upstream(to), timeout)
 }
 
--- a/internal/sidecar/endings_test.go
+++ b/internal/sidecar/endings_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -333,6 +334,42 @@
 	}
 }
 
+// A repeat whose connection comes up when the time is over in which repeats are dropped is not written: it would run
+// twice. Nor is it where the connection is not up by then.
+func TestRepeatWhoseConnectionComesUpTooLate(t *testing.T) {
+	for _, late := range []bool{true, false} {
+		t.Run(fmt.Sprintf("late %v", late), func(t *testing.T) {
+			s := newStub(t, echo)
+			l := idleLoop(t, s.address)
+			r, _ := l.hold(7)
+			var dialling chan string
+			var come chan bool
+			if late {
+				dialling, come = heldDial(l.upstream)
+			} else {
+				l.upstream.dial = func(ctx context.Context, _, _ string) (net.Conn, error) {
+					<-ctx.Done()
+					return nil, ctx.Err()
+				}
+			}
+			const within = time.Millisecond
+			l.now = l.clock.now()
+			l.Send(7, serverID("s-0"), generous, within)
+			if late {
+				wait(t, "the call", dialling)
+				for l.clock.now() < l.now+within {
+					runtime.Gosched()
+				}
+				come <- true
+			}
+			l.next(t)
+			if len(s.seen) > 0 || r.over || r.out != 0 {
+				t.Errorf("%d repeats written, answered %v, %d attempts out", len(s.seen), r.over, r.out)
+			}
+		})
+	}
+}
+
 // Nor does a queued request, or one that waits to be sent again, go to a server once the news is in.
 func TestNothingNewAfterTheNews(t *testing.T) {
 	for _, lifecycle := range []string{"draining", "gone"} {
--- a/internal/sidecar/loop.go
+++ b/internal/sidecar/loop.go
@@ -243,8 +243,9 @@
 }
 
 // Send starts an attempt, given up after timeout or at the client's deadline. Where the request is
-// over or out of attempts or time, or the server is not listed, nothing is sent.
-func (l *loop) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+// over or out of attempts or time, or the server is not listed, nothing is sent, nor where it is not on its way
+// within the time that there is for that.
+func (l *loop) Send(id policy.RequestID, to policy.ServerID, timeout, within time.Duration) {
 	r := l.requests[id]
 	if r == nil {
 		return // over, with all attempts ended: the module has forgotten it too
@@ -252,7 +253,7 @@
 	number, left := len(r.attempts), r.deadline-l.now
 	r.out++
 	h := l.hosts[to]
-	if r.over || number >= l.most || left <= 0 || timeout < 0 || h == nil {
+	if r.over || number >= l.most || left <= 0 || min(timeout, within) < 0 || h == nil {
 		r.attempts = append(r.attempts, nil)
 		l.notSent = append(l.notSent, policy.Outcome{ID: id, Attempt: number, Ending: policy.NotSent})
 		return
@@ -260,7 +261,11 @@
 	if timeout == 0 || timeout > left {
 		timeout = left
 	}
-	r.attempts = append(r.attempts, l.upstream.send(h, r.message, l.now+timeout, func(res result) {
+	until, by := l.now+timeout, time.Duration(0)
+	if within > 0 {
+		by = min(until, l.now+within)
+	}
+	r.attempts = append(r.attempts, l.upstream.send(h, r.message, until, by, func(res result) {
 		l.post(func(time.Duration) { l.ended(id, number, res) })
 	}))
 }
--- a/internal/sidecar/loop_test.go
+++ b/internal/sidecar/loop_test.go
@@ -59,7 +59,7 @@
 	l := idleLoop(t, s.address)
 	r, reply := l.hold(7)
 	to := serverID("s-0")
-	l.Send(7, to, 0)
+	l.Send(7, to, 0, 0)
 	l.next(t)
 	if a := wait(t, "the answer", reply); a.status != http.StatusOK || string(a.body) != "first" {
 		t.Fatalf("answer %+v", a)
@@ -70,7 +70,7 @@
 	l.requests[7] = r // as if another attempt were out
 	l.Refuse(7, time.Second)
 	l.Fail(7)
-	l.Send(7, to, 0)
+	l.Send(7, to, 0, 0)
 	if len(reply) != 0 || len(l.notSent) != 1 || l.notSent[0] != (policy.Outcome{ID: 7, Attempt: 1, Ending: policy.NotSent}) {
 		t.Errorf("%d more answers, not sent %+v, want none and attempt 1", len(reply), l.notSent)
 	}
@@ -86,7 +86,7 @@
 	s := newStub(t, silent)
 	l := idleLoop(t, s.address)
 	r, reply := l.hold(7)
-	l.Send(7, serverID("s-0"), 0)
+	l.Send(7, serverID("s-0"), 0, 0)
 	wait(t, "the request", s.seen)
 	l.Fail(7)
 	if a := wait(t, "the answer", reply); a.status != http.StatusGatewayTimeout {
@@ -110,14 +110,14 @@
 	l.hold(7)
 	to := serverID("s-0")
 	for range 3 {
-		l.Send(7, to, 0)
+		l.Send(7, to, 0, 0)
 	}
-	l.Send(7, to, 0)
+	l.Send(7, to, 0, 0)
 	l.hold(8)
-	l.Send(8, serverID("unheard of"), 0)
-	l.Send(8, to, -time.Second)
+	l.Send(8, serverID("unheard of"), 0, 0)
+	l.Send(8, to, -time.Second, 0)
 	l.now += 2 * generous
-	l.Send(8, to, 0)
+	l.Send(8, to, 0, 0)
 	want := []policy.Outcome{
 		{ID: 7, Attempt: 3, Ending: policy.NotSent}, {ID: 8, Attempt: 0, Ending: policy.NotSent},
 		{ID: 8, Attempt: 1, Ending: policy.NotSent}, {ID: 8, Attempt: 2, Ending: policy.NotSent},
--- a/internal/sidecar/upstream.go
+++ b/internal/sidecar/upstream.go
@@ -155,14 +155,18 @@
 	return x.ending, x.over
 }
 
-// send starts an attempt that is given up at until. Its end goes to done, once.
-func (u *upstream) send(to *host, m *message, until time.Duration, done func(result)) *exchange {
+// send starts an attempt that is given up at until, and whose request is on the way before by (0: until), or never.
+// Its end goes to done, once.
+func (u *upstream) send(to *host, m *message, until, by time.Duration, done func(result)) *exchange {
+	if by == 0 {
+		by = until
+	}
 	x := new(exchange)
 	u.mu.Lock()
 	u.unsent[x] = to // from now on: retire may come before it has got anywhere
 	u.mu.Unlock()
 	go func() {
-		res, body, ending := u.exchange(x, to, m, until)
+		res, body, ending := u.exchange(x, to, m, by, until)
 		u.sent(x) // also where it came to nothing
 		if res == nil {
 			done(result{ending: ending})
@@ -203,7 +207,8 @@
 func (u *upstream) probe(to *host, now time.Duration, told func(ok bool, load policy.Load)) {
 	go func() {
 		m := &message{method: http.MethodGet, uri: u.probePath, host: to.address}
-		res, body, _ := u.exchange(new(exchange), to, m, now+u.dialTimeout)
+		until := now + u.dialTimeout
+		res, body, _ := u.exchange(new(exchange), to, m, until, until)
 		if res == nil {
 			told(false, policy.Load{})
 			return
@@ -240,7 +245,7 @@
 
 // exchange sends a request and reads its answer. Without a whole answer the ending says what is
 // known: NoConnection until the last byte of the request is written, as it cannot have run before.
-func (u *upstream) exchange(x *exchange, to *host, m *message, until time.Duration) (*http.Response, []byte, policy.Ending) {
+func (u *upstream) exchange(x *exchange, to *host, m *message, by, until time.Duration) (*http.Response, []byte, policy.Ending) {
 	unsent := func(err error) policy.Ending {
 		ending, over := x.givenUp()
 		switch {
@@ -248,6 +253,8 @@
 			return ending
 		case errors.Is(err, errNoRoom), errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE):
 			return policy.NotSent // our own lack: no word on the server
+		case by < until && u.clock.now() >= by:
+			return policy.NotSent // nor was it waited for as long as usual
 		}
 		return policy.NoConnection
 	}
@@ -257,11 +264,11 @@
 		x.withhold(policy.NotSent)
 		return nil, nil, unsent(nil)
 	}
-	c, err := u.connect(x, to, until)
+	c, err := u.connect(x, to, by)
 	if err != nil {
 		return nil, nil, unsent(err)
 	}
-	if m.gone() {
+	if m.gone() || u.clock.now() >= by { // a connection that was late in coming up: see policy.Host
 		x.withhold(policy.NotSent)
 	}
 	if !x.begin(true, func() { c.Conn.Close() }) { // given up in the meantime: nothing may go out any more
@@ -338,8 +345,8 @@
 	return nil, nil, errors.New("too many interim answers")
 }
 
-// connect returns a kept connection that still stands, or opens one.
-func (u *upstream) connect(x *exchange, to *host, until time.Duration) (*conn, error) {
+// connect returns a kept connection that still stands, or opens one that is up before by.
+func (u *upstream) connect(x *exchange, to *host, by time.Duration) (*conn, error) {
 	for {
 		c, err := u.take(to)
 		if err != nil {
@@ -356,7 +363,7 @@
 		u.mu.Unlock()
 		u.discard(c)
 	}
-	limit := min(u.dialTimeout, until-u.clock.now())
+	limit := min(u.dialTimeout, by-u.clock.now())
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	if !x.begin(false, cancel) {
--- a/internal/sidecar/upstream_test.go
+++ b/internal/sidecar/upstream_test.go
@@ -29,7 +29,7 @@
 func attempt(t *testing.T, u *upstream, to *host, id string, limit time.Duration) result {
 	t.Helper()
 	done := make(chan result, 2)
-	u.send(to, testMessage(id), u.clock.now()+limit, func(r result) { done <- r })
+	u.send(to, testMessage(id), u.clock.now()+limit, 0, func(r result) { done <- r })
 	return wait(t, "the end of an attempt", done)
 }
 
@@ -173,7 +173,7 @@
 	u := testUpstream(t)
 	done := make(chan result, 2)
 	for _, id := range []string{"1", "2"} { // at the same time, so on two connections
-		u.send(s.host, testMessage(id), u.clock.now()+generous, func(r result) { done <- r })
+		u.send(s.host, testMessage(id), u.clock.now()+generous, 0, func(r result) { done <- r })
 		wait(t, "a request", s.seen)
 	}
 	close(both)
@@ -200,7 +200,7 @@
 		t.Errorf("ending %v, %d open, want served over the one connection", got.ending, u.open)
 	}
 	done := make(chan result, 1)
-	x := u.send(mute.host, testMessage("3"), u.clock.now()+generous, func(r result) { done <- r })
+	x := u.send(mute.host, testMessage("3"), u.clock.now()+generous, 0, func(r result) { done <- r })
 	wait(t, "the request", mute.seen)
 	if got := attempt(t, u, a.host, "4", generous); got.ending != policy.NotSent { // no word on the server
 		t.Errorf("ending %v, want %v", got.ending, policy.NotSent)
@@ -242,7 +242,7 @@
 	s := newStub(t, silent)
 	u := testUpstream(t)
 	done := make(chan result, 2)
-	x := u.send(s.host, testMessage("1"), u.clock.now()+generous, func(r result) { done <- r })
+	x := u.send(s.host, testMessage("1"), u.clock.now()+generous, 0, func(r result) { done <- r })
 	wait(t, "the request", s.seen)
 	x.cancel()
 	x.cancel()
@@ -265,7 +265,7 @@
 	x.cancel()
 	m := testMessage("2")
 	for i := range 2 { // over the kept connection, then over a new one
-		if _, _, ending := u.exchange(x, s.host, m, u.clock.now()+generous); ending != policy.Cancelled {
+		if _, _, ending := u.exchange(x, s.host, m, u.clock.now()+generous, u.clock.now()+generous); ending != policy.Cancelled {
 			t.Errorf("ending %v, want %v", ending, policy.Cancelled)
 		}
 		x.cancel() // once more: the connection is not its own any more
@@ -339,7 +339,7 @@
 	})
 	u := testUpstream(t)
 	done := make(chan result, 1)
-	u.send(s.host, testMessage("1"), u.clock.now()+generous, func(r result) { done <- r })
+	u.send(s.host, testMessage("1"), u.clock.now()+generous, 0, func(r result) { done <- r })
 	wait(t, "the request", s.seen)
 	u.leave(s.host)
 	close(release)
--- a/policy/api.go
+++ b/policy/api.go
@@ -203,8 +203,9 @@
 // Host carries out what the Balancer decides. Its methods must not call back
 // into the Balancer.
 type Host interface {
-	// Send starts the next attempt of a request, given up after timeout.
-	Send(id RequestID, to ServerID, timeout time.Duration)
+	// Send starts the next attempt of a request, given up after timeout. Unless its request is on the way within
+	// that time (0: no limit) it must not be any more, and ends as NotSent: it would be a repeat that is not dropped.
+	Send(id RequestID, to ServerID, timeout, within time.Duration)
 	// Refuse ends a request; trying again is harmless, best after the pause.
 	Refuse(id RequestID, pause time.Duration)
 	// Fail ends a request with no promise about its effect.
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -10,7 +10,7 @@
 // sidecar is the program that embeds the module: it carries out its decisions.
 type sidecar struct{}
 
-func (sidecar) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+func (sidecar) Send(id policy.RequestID, to policy.ServerID, timeout, _ time.Duration) {
 	fmt.Printf("send request %d, for at most %v\n", id, timeout)
 }
 func (sidecar) Refuse(id policy.RequestID, pause time.Duration) {
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -220,7 +220,7 @@
 	s.f.after(0, func() { s.end(a, Cancelled) })
 }
 
-func (s *modelSidecar) Send(id RequestID, to ServerID, timeout time.Duration) {
+func (s *modelSidecar) Send(id RequestID, to ServerID, timeout, _ time.Duration) {
 	j := s.f.jobs[id]
 	m := s.f.servers[to]
 	a := &attemptAt{to: m, id: id, number: len(j.attempts)}
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -13,6 +13,7 @@
 	id      RequestID
 	to      ServerID
 	timeout time.Duration
+	within  time.Duration
 }
 
 // fakeHost records the actions of a Balancer.
@@ -38,8 +39,8 @@
 	h.trace = append(h.trace, fmt.Sprintf(format, args...))
 }
 
-func (h *fakeHost) Send(id RequestID, to ServerID, timeout time.Duration) {
-	h.sends = append(h.sends, sent{id, to, timeout})
+func (h *fakeHost) Send(id RequestID, to ServerID, timeout, within time.Duration) {
+	h.sends = append(h.sends, sent{id, to, timeout, within})
 	h.note("send %d %d %v", id, to, timeout)
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -363,7 +363,7 @@
 	case s == nil || r.class.Scope == ScopeAll:
 		return true
 	}
-	return s.Zone == first.to.Zone && (r.class.Scope == ScopeZone || s.Cell == first.to.Cell)
+	return s.Zone == first.zone && (r.class.Scope == ScopeZone || s.Cell == first.cell)
 }
 
 // mayGo is the gate: whether the rules let a request go to a server now.
@@ -416,7 +416,7 @@
 		return false
 	}
 	s.coldAt = now + b.coldGap(now, s)
-	r.attempts = append(r.attempts, attempt{to: s, sent: now})
+	r.attempts = append(r.attempts, attempt{to: s, zone: s.Zone, cell: s.Cell, sent: now})
 	b.hold(r, s, 1)
 	if len(r.attempts) > 1 {
 		b.count.Retries++
@@ -425,7 +425,7 @@
 	if b.far(s) {
 		b.count.Crossed++
 	}
-	b.host.Send(r.id, s.ID, r.useful-now)
+	b.host.Send(r.id, s.ID, r.useful-now, r.window())
 	return true
 }
 
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -388,6 +388,42 @@
 	}
 }
 
+// A repeat is told how long its like are dropped: connections may come up late. Nothing else is held to that.
+func TestRepeatsAreToldTheirWindow(t *testing.T) {
+	for _, c := range []struct {
+		class int
+		ends  Ending
+		want  time.Duration
+	}{
+		{keyedAll, Errored, 400 * ms}, {keyedZone, Broken, 400 * ms}, {keyedCell, TimedOut, 400 * ms},
+		{keyedAll, TurnedAway, 0}, {keyedAll, NoConnection, 0}, {safeClass, Errored, 0}, {unsafeClass, TurnedAway, 0},
+	} {
+		b, h := start(t, testConfig(), ready(1, 2, 3))
+		ask(b, 0, 1, c.class)
+		end(b, 300*ms, 1, 0, c.ends)
+		if len(h.sends) != 2 || h.sends[0].within != 0 || h.sends[1].within != c.want {
+			t.Errorf("class %d, ending %d: sends %+v, want two, the second within %v", c.class, c.ends, h.sends, c.want)
+		}
+	}
+}
+
+// A server that leaves may be listed without its zone and cell. The repeat of what it may have run stays within them.
+func TestRepeatStaysInTheGroupOfOneThatLeft(t *testing.T) {
+	for _, class := range []int{keyedZone, keyedCell} {
+		list := []Server{{ID: 1, Zone: 1, Cell: 1, State: Ready, Weight: 1}}
+		b, h := start(t, testConfig(), list)
+		ask(b, 0, 1, class)
+		list[0].Zone, list[0].Cell, list[0].State = 0, 0, Gone
+		other := Server{ID: 2, State: Ready, Weight: 1} // in zone and cell 0
+		b.List(ms, ListDelta, append(list, other))
+		end(b, 2*ms, 1, 0, Broken)
+		b.Wake(100 * ms)
+		if len(h.sends) != 1 || h.sends[0].to != 1 {
+			t.Errorf("class %d: sends %+v, want the first alone", class, h.sends)
+		}
+	}
+}
+
 // What the wall holds back for a client that leaves is not sent when the wall opens: not even its place is used.
 func TestClientLeavesWhileHeldByTheWall(t *testing.T) {
 	cfg := testConfig()
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -60,7 +60,7 @@
 	w.trace = append(w.trace, fmt.Sprintf(format, args...))
 }
 
-func (w *world) Send(id RequestID, to ServerID, timeout time.Duration) {
+func (w *world) Send(id RequestID, to ServerID, timeout, _ time.Duration) {
 	w.note("send %d %d %v", id, to, timeout)
 	a, s := w.held[id], w.listed[to]
 	switch {
--- a/policy/state.go
+++ b/policy/state.go
@@ -35,6 +35,8 @@
 
 type attempt struct {
 	to    *server
+	zone  int // of that server, as listed when it was sent there: lines of its leaving may not tell
+	cell  int
 	sent  time.Duration
 	state attemptState
 }
@@ -172,6 +174,16 @@
 	return nil
 }
 
+// window is how long the latest attempt is dropped yet, as a repeat of one that may have run; 0: it is none, or does
+// no harm.
+func (r *request) window() time.Duration {
+	first, latest := r.ran(), &r.attempts[len(r.attempts)-1]
+	if first == latest || r.class.Effect != Keyed {
+		return 0
+	}
+	return first.sent + r.class.Window - latest.sent
+}
+
 // tried says whether a server has had this request already.
 func (r *request) tried(s *server) bool {
 	for i := range r.attempts {
