--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -2,19 +2,16 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"io"
 	"log/slog"
-	"math"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	hosts "arrowgw/internal/listing"
 	"arrowgw/policy"
 )
 
@@ -45,64 +42,10 @@
 	address map[policy.ServerID]string
 }
 
-// serverID names a server by a hash of its instanceId: the same at every sidecar and after a
-// restart, as the module spreads the sidecars over the servers by the order of their ids.
-func serverID(instance string) policy.ServerID {
-	h := fnv.New64a()
-	_, _ = io.WriteString(h, instance) // a hash takes everything
-	return policy.ServerID(h.Sum64())
-}
-
 // parseListing reads an answer. One malformed entry makes the whole answer unusable.
 func parseListing(raw []byte, zones map[string]int) (listing, error) {
-	var answer struct {
-		Generation *int64
-		Reset      bool
-		Instances  []struct {
-			InstanceID  string
-			HostPort    string
-			Zone        string
-			Cell        int
-			Lifecycle   string
-			Weight      float64
-			StartedAtMs float64
-		}
-	}
-	if err := json.Unmarshal(raw, &answer); err != nil {
-		return listing{}, err
-	}
-	if answer.Generation == nil {
-		return listing{}, errors.New("no generation")
-	}
-	l := listing{version: *answer.Generation, whole: answer.Reset, address: make(map[policy.ServerID]string)}
-	for i, e := range answer.Instances {
-		if e.InstanceID == "" {
-			return listing{}, fmt.Errorf("instance %d has no instanceId", i)
-		}
-		s := policy.Server{ID: serverID(e.InstanceID), Zone: -1, Cell: e.Cell, Weight: e.Weight}
-		if zone, ok := zones[e.Zone]; ok {
-			s.Zone = zone
-		}
-		if e.StartedAtMs > math.MaxInt64/float64(time.Millisecond)/2 { // no time of this clock
-			return listing{}, fmt.Errorf("instance %s: startedAtMs is %v", e.InstanceID, e.StartedAtMs)
-		}
-		s.Started = time.Duration(max(0, e.StartedAtMs) * float64(time.Millisecond))
-		switch e.Lifecycle {
-		case "ready":
-			s.State = policy.Ready
-		case "gone":
-			s.State = policy.Gone
-		default:
-			s.State = policy.Draining // nothing new, whatever it is
-		}
-		if _, _, err := net.SplitHostPort(e.HostPort); err == nil {
-			l.address[s.ID] = e.HostPort
-		} else if s.State != policy.Gone {
-			return listing{}, fmt.Errorf("instance %s: hostPort: %w", e.InstanceID, err)
-		}
-		l.servers = append(l.servers, s)
-	}
-	return l, nil
+	l, err := hosts.Parse(raw, zones)
+	return listing{version: l.Version, whole: l.Whole, servers: l.Servers, address: l.Address}, err
 }
 
 // discovery follows the list of servers and hands what it learns to the loop.
--- a/internal/sidecar/stub_test.go
+++ b/internal/sidecar/stub_test.go
@@ -12,6 +12,9 @@
 	"strings"
 	"testing"
 	"time"
+
+	hosts "arrowgw/internal/listing"
+	"arrowgw/policy"
 )
 
 // generous bounds every wait: tests wait for events, and only a broken program waits this long.
@@ -232,3 +235,6 @@
 	}
 	return res, string(body)
 }
+
+// serverID names a server by its instanceId.
+func serverID(instance string) policy.ServerID { return hosts.ServerID(instance) }
