Move the model of a fleet into a package that plays lists, cuts and restarts too

What a fleet of 11,000 sends itself could not be played: the model of policy/fleet_test.go had a list that never changed and a network that nothing cut. It is now internal/fleet, with discovery of bounded capacity, lists and datagrams in their real form, delay, loss, cuts by zone and region, cold starts and restarts, and counts by role.

--- /dev/null
+++ b/internal/fleet/helpers_test.go
@@ -0,0 +1,100 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	"arrowgw/policy"
+)
+
+const ms = time.Millisecond
+
+// The classes of testConfig.
+const (
+	safeClass = iota
+	keyedClass
+	unsafeClass
+)
+
+// testConfig is a service of n sidecars and as many servers in 6 zones and 2 regions, that is asked rate requests
+// a second of each sidecar. What servers, network and discovery take is assumed; the settings are like those of
+// the days at size, with a class that is unsafe.
+func testConfig(seed uint64, n int, rate float64) Config {
+	class := func(worth float64, e policy.Effect) policy.Class {
+		return policy.Class{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: worth, Effect: e, Window: 6 * time.Second}
+	}
+	quota := 1.25 * max(rate, 0.1) * float64(n)
+	return Config{
+		Seed: seed, Sidecars: n, Servers: n, Zones: 6, Regions: 2, Offset: int(seed % 6),
+		Rate: rate * float64(n), Mix: []float64{0.5, 0.3, 0.2},
+		Server: Server{Cores: 2, Work: 27 * ms, Room: 5, Choke: 500 * ms, Rest: 800 * ms},
+		Network: Network{Zone: 250 * time.Microsecond, Cross: 500 * time.Microsecond, Region: 15 * ms,
+			DatagramSpread: 2 * ms, DatagramLoss: 0.01},
+		Discovery: &Discovery{Call: 100 * time.Microsecond, Line: 2 * time.Microsecond, Patience: 3 * time.Second,
+			Late: 100 * ms, Detect: 3 * time.Second},
+		Policy: policy.Config{
+			Classes: []policy.Class{class(1, policy.Safe), class(8, policy.Keyed), class(4, policy.Unsafe)},
+			Tenants: []policy.Tenant{{Share: 0.42, Quota: 0.42 * quota}, {Share: 0.33, Quota: 0.33 * quota},
+				{Share: 0.25, Quota: 0.25 * quota}},
+			MaxAttempts: 6, MayCancel: true, MayTell: true, MaxRetryAfter: 2 * time.Second, MarksRepeat: true, Tick: ms,
+			AskList: true, AskWithin: 10 * time.Second, ColdFrom: 0.32, ColdTime: 8400 * ms, ColdMultiple: 4, CrossZonePrice: 0.12,
+		},
+	}
+}
+
+func begin(t testing.TB, cfg Config) *Service {
+	t.Helper()
+	f, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+// keptRules finds no rule broken, and no sidecar that could not start.
+func keptRules(t testing.TB, f *Service) {
+	t.Helper()
+	if b := f.Broken(); b.Total() > 0 {
+		t.Errorf("rules broken %v: %q", b.Times, b.Detail)
+	}
+	if err := f.Err(); err != nil {
+		t.Error(err)
+	}
+}
+
+// loseAZone plays a service that loses its last zone and gets it back: for 10 s before, 20 s without, 30 s after.
+func loseAZone(f *Service) {
+	f.Run(10 * time.Second)
+	f.LoseZone(f.cfg.Zones - 1)
+	f.Run(20 * time.Second)
+	f.ReturnZone(f.cfg.Zones - 1)
+	f.Run(30 * time.Second)
+}
+
+// partRegions plays regions that are apart for d, and then 30 s more. Meanwhile a tenth of the servers are
+// replaced, on both sides.
+func partRegions(f *Service, d time.Duration) {
+	f.Run(5 * time.Second)
+	f.PartRegions()
+	replaceSome(f, len(f.servers)/10, d)
+	f.Run(d)
+	f.JoinRegions()
+	f.Run(30 * time.Second)
+}
+
+// replaceSome has n servers and their sidecars replaced within d, evenly spread over time and servers.
+func replaceSome(f *Service, n int, d time.Duration) {
+	for k := range n {
+		f.clock.after(d*time.Duration(k)/time.Duration(n), func() {
+			f.Replace(k*len(f.servers)/n, 8*time.Second, 2*time.Second)
+		})
+	}
+}
+
+// longest is the longest time until all knew of a change, and 0 where there was none.
+func longest(known []time.Duration) (most time.Duration) {
+	for _, d := range known {
+		most = max(most, d)
+	}
+	return most
+}
--- /dev/null
+++ b/internal/fleet/network.go
@@ -0,0 +1,99 @@
+package fleet
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Network sets what the model network does. The zero value carries everything at once and loses nothing.
+type Network struct {
+	Zone   time.Duration // one way within a zone
+	Cross  time.Duration // one way to another zone of the region
+	Region time.Duration // one way to another region
+
+	DatagramLeast  time.Duration // a datagram takes at least this more,
+	DatagramSpread time.Duration // and up to this more again, evenly spread
+	DatagramLoss   float64       // share of datagrams that never arrive
+}
+
+const (
+	// What is lost of a connection is sent again after this, then after twice as long each time, as TCP does
+	// with the first segment of a connection. Whoever waits for it gives up by its own clock.
+	firstResend = time.Second
+	lastResend  = 2 * time.Minute
+)
+
+// network carries messages between zones, each with its delay, or not at all where it is cut.
+type network struct {
+	Network
+	clock   *clock
+	rng     *rand.Rand
+	regions []int    // of each zone
+	cut     [][]bool // by zone, both ways
+}
+
+func newNetwork(cfg Network, c *clock, rng *rand.Rand, zones, regions int) *network {
+	n := &network{Network: cfg, clock: c, rng: rng}
+	for z := range zones {
+		n.regions = append(n.regions, z*regions/zones)
+		n.cut = append(n.cut, make([]bool, zones))
+	}
+	return n
+}
+
+// delay is what one way between two zones takes.
+func (n *network) delay(from, to int) time.Duration {
+	switch {
+	case from == to:
+		return n.Zone
+	case n.regions[from] == n.regions[to]:
+		return n.Cross
+	}
+	return n.Region
+}
+
+// request carries part of a request or an answer to it. What a cut swallows is lost: attempts are given up
+// long before it would be sent again.
+func (n *network) request(from, to int, do func()) {
+	switch d := n.delay(from, to); {
+	case n.cut[from][to]:
+	case d == 0:
+		do()
+	default:
+		n.clock.after(d, do)
+	}
+}
+
+// stream carries something over a connection that outlasts a cut: it is sent again until it arrives.
+func (n *network) stream(from, to int, do func()) { n.resend(from, to, firstResend, do) }
+
+func (n *network) resend(from, to int, pause time.Duration, do func()) {
+	if n.cut[from][to] {
+		n.clock.after(pause, func() { n.resend(from, to, min(2*pause, lastResend), do) })
+		return
+	}
+	n.clock.after(n.delay(from, to), do)
+}
+
+// datagram tells whether a datagram arrives, and after what time.
+func (n *network) datagram(from, to int) (time.Duration, bool) {
+	if n.cut[from][to] || n.rng.Float64() < n.DatagramLoss {
+		return 0, false
+	}
+	d := n.delay(from, to) + n.DatagramLeast
+	if n.DatagramSpread > 0 {
+		d += time.Duration(n.rng.Int64N(int64(n.DatagramSpread)))
+	}
+	return d, true
+}
+
+// part cuts or heals what connects different sides, named by a number for each zone.
+func (n *network) part(side func(zone int) int, cut bool) {
+	for from := range n.cut {
+		for to := range n.cut {
+			if side(from) != side(to) {
+				n.cut[from][to] = cut
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/fleet/sidecar.go
@@ -0,0 +1,472 @@
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"math"
+	"time"
+
+	"arrowgw/internal/gossip"
+	"arrowgw/internal/listing"
+	"arrowgw/policy"
+)
+
+// What the sidecar's own reader of discovery does, with the same times.
+const (
+	watchMost    = 20 * time.Second
+	firstWait    = time.Millisecond
+	listTime     = 6 * time.Second
+	silenceAfter = 500 * time.Millisecond
+)
+
+const clientsWait = 1 * time.Second // clients give up after this
+
+// sidecar is a hollow one: a real Balancer, with the model's clients before it and the model around it.
+type sidecar struct {
+	f       *Service
+	b       *policy.Balancer // nil while it is down
+	index   int
+	zone    int
+	life    int // counts its starts
+	rate    float64
+	busy    bool // it is one of the few whose processor time is told apart
+	held    map[policy.RequestID]*request
+	leaving map[policy.ServerID]time.Duration // servers that leave, by when that was written to it
+
+	// The following of the list.
+	version   int64 // of the list that is held; below 0: none
+	asked     bool  // the Balancer wants the list
+	following bool
+	heard     bool // a call went well since
+	silent    bool // the last watch was not answered
+	calls     int  // counted, so that what comes late is told from what is awaited
+	call      *call
+}
+
+// ask is what a client wants; it may try more than once.
+type ask struct {
+	class, tenant int
+	key           uint64
+	begun         time.Duration
+	runs          int // that servers began
+}
+
+// request is one try, as the sidecar holds it.
+type request struct {
+	ask      *ask
+	id       policy.RequestID
+	from     *sidecar
+	life     int // the sidecar's
+	tries    int // that its client has left
+	attempts []*attempt
+	out      int // attempts that have not ended
+	over     bool
+}
+
+// start gives the sidecar a new Balancer, and what it knows of the list, if anything. The Balancer's own draws go
+// by its number and its life, the seed's are those of the world around it.
+func (s *sidecar) start(known *listing.List) error {
+	f := s.f
+	cfg := f.cfg.Policy
+	cfg.Balancers, cfg.Index, cfg.Zone = len(f.sidecars), s.index, s.zone
+	b, err := policy.New(cfg, uint64(s.index)+uint64(s.life)<<40, s)
+	if err != nil {
+		return fmt.Errorf("sidecar %d: %w", s.index, err)
+	}
+	s.b, s.version = b, -1
+	s.asked, s.following, s.heard, s.silent = false, false, false, false
+	s.held, s.leaving = make(map[policy.RequestID]*request), make(map[policy.ServerID]time.Duration)
+	s.b.Start(f.clock.now)
+	if known != nil {
+		s.version = known.Version
+		kind := policy.ListCached
+		if f.discovery == nil {
+			kind = policy.ListFull
+		}
+		s.b.List(f.clock.now, kind, known.Servers)
+	}
+	s.arrive()
+	return nil
+}
+
+// stop ends the sidecar and its clients with it.
+func (s *sidecar) stop() {
+	s.life++
+	s.calls++
+	s.b, s.held = nil, nil
+	s.giveUp()
+}
+
+// measured begins a measure of processor time, where these are wanted.
+func (s *sidecar) measured() time.Time {
+	if !s.f.cfg.Measure {
+		return time.Time{}
+	}
+	return time.Now()
+}
+
+// control and serving end a measure.
+func (s *sidecar) control(from time.Time) {
+	if s.f.cfg.Measure {
+		took := time.Since(from)
+		s.f.count.ControlTime += took
+		if s.busy {
+			s.f.count.BusyControlTime += took
+		}
+	}
+}
+
+func (s *sidecar) serving(from time.Time) {
+	if s.f.cfg.Measure {
+		took := time.Since(from)
+		s.f.count.RequestTime += took
+		if s.busy {
+			s.f.count.BusyRequestTime += took
+		}
+	}
+}
+
+// arrive has the next client come.
+func (s *sidecar) arrive() {
+	if s.rate == 0 {
+		return
+	}
+	f, life := s.f, s.life
+	f.clock.after(time.Duration(f.rng.ExpFloat64()/s.rate*float64(time.Second)), func() {
+		if s.life != life {
+			return
+		}
+		class, at, sum := 0, f.rng.Float64(), 0.0
+		for i := len(f.cfg.Mix) - 1; i > 0; i-- {
+			if sum += f.cfg.Mix[i]; at < sum {
+				class = i
+				break
+			}
+		}
+		f.classes[class].Asked++
+		f.count.Asked++
+		q := &ask{class: class, tenant: f.rng.IntN(max(1, len(f.cfg.Policy.Tenants))), begun: f.clock.now}
+		q.key = 1 + uint64(200*f.rng.Float64()*f.rng.Float64())
+		s.try(q, 2)
+		s.arrive()
+	})
+}
+
+// try hands a client's try to the Balancer.
+func (s *sidecar) try(q *ask, tries int) {
+	f := s.f
+	f.requests++
+	f.count.Taken++
+	if s.busy {
+		f.count.BusyTaken++
+	}
+	r := &request{ask: q, id: f.requests, from: s, life: s.life, tries: tries}
+	s.held[r.id] = r
+	f.mark(1, uint64(s.index), uint64(r.id))
+	f.clock.after(clientsWait+answerTick, func() {
+		if !r.over && s.life == r.life {
+			f.broke(OneAnswer, "request %d of sidecar %d has no answer", r.id, s.index)
+		}
+	})
+	from := s.measured()
+	s.b.Request(f.clock.now, policy.Request{ID: r.id, Class: q.class, Tenant: q.tenant, Left: clientsWait,
+		Repeat: tries < 2, Key: q.key})
+	s.serving(from)
+}
+
+// answer closes a request, or finds that it has been answered before.
+func (s *sidecar) answer(r *request) bool {
+	if r.over {
+		s.f.broke(OneAnswer, "request %d of sidecar %d is answered again", r.id, s.index)
+		return false
+	}
+	r.over = true
+	s.forget(r)
+	return true
+}
+
+// forget drops a request that is over and has no attempt out.
+func (s *sidecar) forget(r *request) {
+	if r.over && r.out == 0 {
+		delete(s.held, r.id)
+	}
+}
+
+// lookup finds a request that the Balancer names.
+func (s *sidecar) lookup(id policy.RequestID) *request {
+	r := s.held[id]
+	if r == nil {
+		s.f.broke(OneAnswer, "sidecar %d names request %d, which is over", s.index, id)
+	}
+	return r
+}
+
+// Refuse has the client of a refused request ask at once, as long as it still has tries.
+func (s *sidecar) Refuse(id policy.RequestID, _ time.Duration) {
+	r, f := s.lookup(id), s.f
+	if r == nil || !s.answer(r) {
+		return
+	}
+	q := r.ask
+	f.mark(2, uint64(s.index), uint64(id))
+	if q.runs > 0 && f.cfg.Policy.Classes[q.class].Effect == policy.Unsafe {
+		f.broke(RunsOnce, "request %d ran and was refused as harmless to repeat", id)
+	}
+	if r.tries == 0 || f.clock.now-q.begun > clientsWait {
+		f.classes[q.class].Refused++
+		f.count.Refused++
+		return
+	}
+	f.clock.after(time.Millisecond, func() {
+		if s.life == r.life {
+			s.try(q, r.tries-1)
+		}
+	})
+}
+
+// Fail ends a request; its client does not try again.
+func (s *sidecar) Fail(id policy.RequestID) {
+	r := s.lookup(id)
+	if r == nil || !s.answer(r) {
+		return
+	}
+	s.f.mark(3, uint64(s.index), uint64(id))
+	s.f.classes[r.ask.class].Failed++
+	s.f.count.Failed++
+}
+
+// Wake is kept to the millisecond.
+func (s *sidecar) Wake(d time.Duration) {
+	life := s.life
+	s.f.clock.after(max(d, time.Millisecond), func() {
+		if s.life != life {
+			return
+		}
+		from := s.measured()
+		s.b.Wake(s.f.clock.now)
+		s.control(from)
+	})
+}
+
+// Tell reaches each of the others a little later, or not.
+func (s *sidecar) Tell(n policy.News) {
+	f, raw := s.f, gossip.Encode(n)
+	f.count.Gossip.Out.add(len(raw) + datagramHeaders)
+	for _, to := range f.sidecars {
+		if to == s || to.b == nil {
+			continue
+		}
+		if d, arrives := f.network.datagram(s.zone, to.zone); arrives {
+			f.clock.push(event{at: f.clock.now + d, to: to, from: s.index, raw: raw})
+		} else {
+			f.count.Lost++
+		}
+	}
+}
+
+// hear takes a datagram.
+func (s *sidecar) hear(from int, raw []byte) {
+	if s.b == nil {
+		return
+	}
+	s.f.count.Gossip.In.add(len(raw) + datagramHeaders)
+	begun := s.measured()
+	if n, err := gossip.Decode(raw); err == nil {
+		s.b.Heard(s.f.clock.now, from, n)
+	}
+	s.control(begun)
+}
+
+// Cancel calls off an attempt. The server learns of it; one that it works on is worked on to its end.
+func (s *sidecar) Cancel(id policy.RequestID, n int) {
+	if r := s.lookup(id); r != nil {
+		s.f.clock.after(0, func() { s.end(r.attempts[n], policy.Cancelled) })
+	}
+}
+
+// Send starts an attempt.
+func (s *sidecar) Send(id policy.RequestID, to policy.ServerID, timeout time.Duration) {
+	r, f := s.lookup(id), s.f
+	if r == nil {
+		return
+	}
+	m := f.byID[to]
+	a := &attempt{to: m, owner: r, number: len(r.attempts)}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	f.mark(4, uint64(s.index), uint64(to))
+	f.checkSend(s, m)
+	f.clock.after(timeout, func() { s.end(a, policy.TimedOut) })
+	f.count.Requests.Out.add(requestBytes)
+	f.network.request(s.zone, m.zone, func() { m.take(a) })
+}
+
+// end tells the Balancer how an attempt ended, once.
+func (s *sidecar) end(a *attempt, e policy.Ending) {
+	f, r := s.f, a.owner
+	if a.ended || s.life != r.life {
+		return
+	}
+	a.ended = true
+	if e == policy.Served {
+		f.count.Requests.In.add(answerBytes)
+	} else {
+		f.network.request(s.zone, a.to.zone, func() { a.to.drop(a) })
+	}
+	if e == policy.Served && !r.over {
+		r.over = true
+		c := &f.classes[r.ask.class]
+		if f.clock.now-r.ask.begun <= f.cfg.Policy.Classes[r.ask.class].Aim {
+			c.InTime++
+			f.count.InTime++
+		} else {
+			c.Late++
+			f.count.Late++
+		}
+	}
+	r.out--
+	f.mark(5+uint64(e), uint64(s.index), uint64(r.id))
+	settled := r.over
+	from := s.measured()
+	s.b.Outcome(f.clock.now, policy.Outcome{ID: r.id, Attempt: a.number, Ending: e, Settled: settled})
+	s.serving(from)
+	s.forget(r)
+}
+
+// Close, Probe and Log have nothing to do in the model: servers keep no connections and send no reports.
+func (s *sidecar) Close(policy.ServerID) {}
+
+// Probe is never allowed by the model's settings.
+func (s *sidecar) Probe(policy.ServerID) {}
+
+// Log is for people.
+func (s *sidecar) Log(string) {}
+
+// WatchList has the list followed.
+func (s *sidecar) WatchList() {
+	if s.f.discovery != nil {
+		s.asked = true
+		s.f.clock.after(0, s.follow)
+	}
+}
+
+// follow begins to call discovery, until a call fails.
+func (s *sidecar) follow() {
+	if s.b == nil || s.following || !s.asked {
+		return
+	}
+	s.asked, s.following, s.heard, s.silent = false, true, false, false
+	s.next()
+}
+
+// next calls discovery: for the whole list, for what changed since the one that is held, or to be told when it
+// changes.
+func (s *sidecar) next() {
+	f := s.f
+	index, hold, limit, watching := int64(-1), time.Duration(0), listTime, false
+	switch {
+	case s.version >= 0 && s.heard && !s.silent:
+		hold = watchMost/2 + time.Duration(f.rng.Int64N(int64(watchMost/2)))
+		index, limit, watching = s.version, hold+silenceAfter, true
+	case s.version >= 0:
+		index, hold = s.version, firstWait
+	}
+	s.calls++
+	number := s.calls
+	c := &call{zone: s.zone, index: index, wait: hold}
+	c.answer = func(a answer, err string) {
+		if s.calls == number {
+			s.giveUp()
+			s.answered(index, a, err)
+		}
+	}
+	s.call = c
+	f.count.Lists.Out.add(onWire(callBytes))
+	f.network.stream(s.zone, 0, func() { f.discovery.take(c) })
+	f.clock.after(limit, func() {
+		if s.calls != number {
+			return
+		}
+		s.giveUp()
+		if watching {
+			s.silent = true
+			s.next()
+			return
+		}
+		s.failed()
+	})
+}
+
+// giveUp ends the call that is under way.
+func (s *sidecar) giveUp() {
+	s.calls++
+	if s.call != nil {
+		s.call.ended = true
+		s.call = nil
+	}
+}
+
+// answered takes the answer to a call.
+func (s *sidecar) answered(index int64, a answer, failure string) {
+	f := s.f
+	f.count.Lists.In.add(onWire(listHead + len(a.body)))
+	from := s.measured()
+	l, err := listing.Parse(a.body, f.zones)
+	s.control(from)
+	switch {
+	case failure != "":
+		err = errors.New(failure)
+	case err != nil || !l.Whole && index >= 0 && l.Version < s.version:
+		s.version = -1
+		err = fmt.Errorf("the list is unusable: %w", err)
+	}
+	if err != nil {
+		s.failed()
+		return
+	}
+	f.count.Lines += int64(len(l.Servers))
+	f.mark(20, uint64(s.index), uint64(l.Version))
+	kind := policy.ListDelta
+	if l.Whole || index < 0 {
+		kind = policy.ListFull
+	}
+	s.written(&l, kind)
+	s.heard, s.silent, s.version = true, false, l.Version
+	from = s.measured()
+	s.b.List(f.clock.now, kind, l.Servers)
+	s.control(from)
+	s.next()
+}
+
+// written notes which servers the sidecar has now been told of that leave.
+func (s *sidecar) written(l *listing.List, kind policy.ListKind) {
+	named := make(map[policy.ServerID]bool)
+	for _, e := range l.Servers {
+		named[e.ID] = true
+		if e.State == policy.Ready {
+			delete(s.leaving, e.ID)
+		} else if _, told := s.leaving[e.ID]; !told {
+			s.leaving[e.ID] = s.f.clock.now
+		}
+	}
+	if kind != policy.ListFull {
+		return
+	}
+	for _, m := range s.f.servers {
+		if _, told := s.leaving[m.id]; !named[m.id] && !told {
+			s.leaving[m.id] = s.f.clock.now
+		}
+	}
+}
+
+// failed tells the Balancer that a call failed; it says when to call again.
+func (s *sidecar) failed() {
+	s.following = false
+	from := s.measured()
+	s.b.List(s.f.clock.now, policy.ListFailed, nil)
+	s.control(from)
+	s.follow()
+}
+
+// demand is a rate drawn for a sidecar: some have many times the traffic of others.
+func (f *Service) demand() float64 { return math.Exp(f.rng.NormFloat64()) }
