--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -14,7 +14,7 @@
 		cfg := testConfig(seed, 30, 5)
 		cfg.Measure = measure
 		f := begin(t, cfg)
-		loseAZone(f)
+		loseAZone(f, 10*time.Second, 20*time.Second, 30*time.Second)
 		keptRules(t, f)
 		return f.Digest(), f.Counts().Exact()
 	}
@@ -97,7 +97,7 @@
 // is broken, and all know within 5 s.
 func TestZoneLostAndBack(t *testing.T) {
 	f := begin(t, testConfig(0, 100, 5))
-	loseAZone(f)
+	loseAZone(f, 10*time.Second, 20*time.Second, 30*time.Second)
 	keptRules(t, f)
 	c := f.Counts()
 	const zone, stay = 16, 84 // of 100 in 6 zones
@@ -117,7 +117,7 @@
 // be told, all know.
 func TestRegionsApart(t *testing.T) {
 	f := begin(t, testConfig(0, 100, 5))
-	partRegions(f, time.Minute)
+	partRegions(f, 10, time.Minute)
 	keptRules(t, f)
 	if known := f.Known(); f.Unknown() > 0 || len(known) < 20 || longest(known) > 15*time.Second {
 		t.Errorf("all know %d changes, the last after %v, and not %d", len(known), longest(known), f.Unknown())
--- a/internal/fleet/helpers_test.go
+++ b/internal/fleet/helpers_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -62,21 +63,21 @@
 	}
 }
 
-// loseAZone plays a service that loses its last zone and gets it back: for 10 s before, 20 s without, 30 s after.
-func loseAZone(f *Service) {
-	f.Run(10 * time.Second)
+// loseAZone plays a service that loses its last zone and gets it back.
+func loseAZone(f *Service, before, without, after time.Duration) {
+	f.Run(before)
 	f.LoseZone(f.cfg.Zones - 1)
-	f.Run(20 * time.Second)
+	f.Run(without)
 	f.ReturnZone(f.cfg.Zones - 1)
-	f.Run(30 * time.Second)
+	f.Run(after)
 }
 
-// partRegions plays regions that are apart for d, and then 30 s more. Meanwhile a tenth of the servers are
-// replaced, on both sides.
-func partRegions(f *Service, d time.Duration) {
+// partRegions plays regions that are apart for d, and then 30 s more. Meanwhile n of the servers are replaced, on
+// both sides.
+func partRegions(f *Service, n int, d time.Duration) {
 	f.Run(5 * time.Second)
 	f.PartRegions()
-	replaceSome(f, len(f.servers)/10, d)
+	replaceSome(f, n, d)
 	f.Run(d)
 	f.JoinRegions()
 	f.Run(30 * time.Second)
@@ -92,9 +93,4 @@
 }
 
 // longest is the longest time until all knew of a change, and 0 where there was none.
-func longest(known []time.Duration) (most time.Duration) {
-	for _, d := range known {
-		most = max(most, d)
-	}
-	return most
-}
+func longest(known []time.Duration) time.Duration { return slices.Max(append(known, 0)) }
