--- a/internal/fleet/fleet_test.go
+++ b/internal/fleet/fleet_test.go
@@ -134,6 +134,35 @@
 	}
 }
 
+// Servers crash with what they hold, again and again: what may have run and is unsafe is not sent again, and every
+// request gets its answer in time.
+func TestCrashes(t *testing.T) {
+	f := begin(t, testConfig(0, 60, 30))
+	f.Run(2 * time.Second)
+	for k := range 40 {
+		f.clock.after(time.Duration(k)*500*ms, func() { f.Crash(k*7%60, 2*time.Second) })
+	}
+	f.Run(25 * time.Second)
+	keptRules(t, f)
+	if c := f.Class(unsafeClass); c.Failed == 0 || c.InTime < c.Asked*9/10 {
+		t.Errorf("of the unsafe %+v, want some to fail and most to be answered", c)
+	}
+}
+
+// Servers that are slow at first and bear little then are spared by many sidecars, each of which could send them
+// no more than a request at a time.
+func TestColdServersAreSpared(t *testing.T) {
+	cfg := testConfig(0, 300, 2)
+	cfg.Servers, cfg.Policy.ColdFrom, cfg.Policy.ColdMultiple = 12, 0.1, 1.2
+	f := begin(t, cfg)
+	f.Run(2 * time.Second)
+	for k := range 6 {
+		f.clock.after(time.Duration(k)*time.Second, func() { f.Crash(2*k, 2*time.Second) })
+	}
+	f.Run(20 * time.Second)
+	keptRules(t, f)
+}
+
 // Discovery is down while servers leave, and back: no rule is broken, and within 15 s all know.
 func TestDiscoveryDown(t *testing.T) {
 	f := begin(t, testConfig(0, 60, 5))
--- a/internal/fleet/service.go
+++ b/internal/fleet/service.go
@@ -352,23 +352,37 @@
 		if m.down {
 			return // its zone was lost meanwhile
 		}
-		m.stop(false)
-		f.announce(i, policy.Gone)
-		life := m.life
 		var s *sidecar
 		if i < len(f.sidecars) && f.sidecars[i].b != nil {
 			s = f.sidecars[i]
 			s.stop()
 		}
-		f.clock.after(pause, func() {
-			if m.life != life {
-				return
-			}
-			m.start()
-			f.announce(i, policy.Ready)
+		f.restart(i, pause, func() {
 			if s != nil && s.b == nil {
 				f.failed = errors.Join(f.failed, s.start(nil))
 			}
 		})
 	})
 }
+
+// Crash has server i stop with all that it holds, and start again after a pause, cold. Its sidecar lives on.
+func (f *Service) Crash(i int, pause time.Duration) {
+	if !f.servers[i].down {
+		f.restart(i, pause, func() {})
+	}
+}
+
+// restart stops a server and, after a pause, starts it again, unless something else has become of it.
+func (f *Service) restart(i int, pause time.Duration, then func()) {
+	m := f.servers[i]
+	m.stop(false)
+	f.announce(i, policy.Gone)
+	life := m.life
+	f.clock.after(pause, func() {
+		if m.life == life {
+			m.start()
+			f.announce(i, policy.Ready)
+			then()
+		}
+	})
+}
