Measure on real processes what a sidecar costs: latency, processor time, idle

Package internal/overhead runs the program as deployed, with stand-ins for map servers, discovery, peers and the application, each a process of its own over loopback, and prints tables: added p50, p99 and mean in pairs of blocks on one schedule (latency from when a call was due), processor time a call, start-up, idle cost by peers and servers listed, the cost of a datagram heard, and shares of all of these at few calls among 300 peers.

Why: the design for the size to come needs slopes that were measured, with the load's and the servers' time told apart from the sidecar's.

--- /dev/null
+++ b/internal/overhead/table.go
@@ -0,0 +1,217 @@
+package overhead
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// spread is a figure measured several times.
+type spread []float64
+
+func (s spread) mean() float64 {
+	sum := 0.0
+	for _, v := range s {
+		sum += v
+	}
+	return sum / float64(len(s))
+}
+
+// deviation is the standard deviation from one measurement to the next.
+func (s spread) deviation() float64 {
+	if len(s) < 2 {
+		return 0
+	}
+	sum, mean := 0.0, s.mean()
+	for _, v := range s {
+		sum += (v - mean) * (v - mean)
+	}
+	return math.Sqrt(sum / float64(len(s)-1))
+}
+
+// String is the mean, the standard deviation, and the least and the most.
+func (s spread) String() string {
+	if len(s) == 0 {
+		return "none"
+	}
+	return fmt.Sprintf("%.3g (sd %.2g; %.3g to %.3g)", s.mean(), s.deviation(), slices.Min(s), slices.Max(s))
+}
+
+// table is a table in Markdown.
+type table struct{ out strings.Builder }
+
+func newTable(columns ...string) *table {
+	t := new(table)
+	t.row(columns...)
+	t.row(slices.Repeat([]string{"---"}, len(columns))...)
+	return t
+}
+
+func (t *table) row(cells ...string) { t.out.WriteString("| " + strings.Join(cells, " | ") + " |\n") }
+
+func (t *table) String() string { return t.out.String() }
+
+func millis(ns int64) string { return fmt.Sprintf("%.3f", float64(ns)/1e6) }
+
+// size is a size as it begins a row.
+func (z Size) cells() []string { return []string{fmt.Sprint(z.Peers), fmt.Sprint(z.Servers)} }
+
+// added is what the sidecar adds to a figure of a block, by pairs.
+func (c Calls) added(of func(Block) float64) spread {
+	var s spread
+	for i := range min(len(c.Direct), len(c.Through)) {
+		s = append(s, of(c.Through[i])-of(c.Direct[i]))
+	}
+	return s
+}
+
+func quantile(q float64) func(Block) float64 {
+	return func(b Block) float64 {
+		return float64(hdrhistogram.Import(b.Result.Latency).ValueAtPercentile(q)) / 1e6
+	}
+}
+
+// eachCall is a processor time as microseconds a call.
+func eachCall(of func(Block) time.Duration) func(Block) float64 {
+	return func(b Block) float64 { return of(b).Seconds() * 1e6 / float64(b.Result.Calls) }
+}
+
+func each(blocks []Block, of func(Block) float64) spread {
+	var s spread
+	for _, b := range blocks {
+		s = append(s, of(b))
+	}
+	return s
+}
+
+// CallTable tells what calls took, in milliseconds, and what processor time they cost, in microseconds a call.
+func CallTable(all []Calls) string {
+	times := newTable("peers", "servers", "calls/s", "path", "calls", "not 200", "p50 ms", "p99 ms", "max ms", "begun late p99 ms")
+	added := newTable("peers", "servers", "calls/s", "pairs", "added p50 ms", "added p99 ms", "added mean ms")
+	cost := newTable("peers", "servers", "calls/s", "sidecar us a call", "of it with no calls", "its system time",
+		"server and load us a call, direct", "added there", "connections to servers a call", "sidecar's memory MB", "peak", "warnings")
+	for _, c := range all {
+		head := append(c.cells(), fmt.Sprintf("%.0f", c.Rate))
+		for _, path := range []struct {
+			name   string
+			blocks []Block
+		}{{"direct", c.Direct}, {"sidecar", c.Through}} {
+			h := latencies(path.blocks, func(r LoadResult) *hdrhistogram.Snapshot { return r.Latency })
+			late := latencies(path.blocks, func(r LoadResult) *hdrhistogram.Snapshot { return r.Late })
+			calls, not := 0, 0
+			for _, b := range path.blocks {
+				calls += b.Result.Calls
+				not += b.Result.Calls - b.Result.OK
+			}
+			times.row(append(slices.Clone(head), path.name, fmt.Sprint(calls), fmt.Sprint(not), millis(h.ValueAtPercentile(50)),
+				millis(h.ValueAtPercentile(99)), millis(h.Max()), millis(late.ValueAtPercentile(99)))...)
+		}
+		mean := func(b Block) float64 { return hdrhistogram.Import(b.Result.Latency).Mean() / 1e6 }
+		added.row(append(slices.Clone(head), fmt.Sprint(len(c.Through)), c.added(quantile(50)).String(),
+			c.added(quantile(99)).String(), c.added(mean).String())...)
+		sidecar := eachCall(func(b Block) time.Duration { return b.Sidecar })
+		others := eachCall(func(b Block) time.Duration { return b.Server + b.Result.Took })
+		connections := each(c.Through, func(b Block) float64 { return float64(b.Connections) / float64(b.Result.Calls) })
+		cost.row(append(slices.Clone(head), each(c.Through, sidecar).String(), fmt.Sprintf("%.3g", each(c.Direct, sidecar).mean()),
+			fmt.Sprintf("%.0f%%", 100*c.System.Seconds()/(c.User+c.System).Seconds()),
+			each(c.Direct, others).String(), c.added(others).String(), fmt.Sprintf("%.3f", connections.mean()),
+			megabytes(c.After.Resident), megabytes(c.After.Peak), fmt.Sprint(c.Warnings))...)
+	}
+	return times.String() + "\n" + added.String() + "\n" + cost.String()
+}
+
+// StartTable tells what a start cost.
+func StartTable(all []Start) string {
+	t := newTable("peers", "servers", "list from", "configuration KB", "processor ms until ready", "until the list is followed",
+		"list KB", "memory MB when ready", "peak", "memory MB when followed", "peak")
+	for _, s := range all {
+		from := "discovery"
+		if s.Known {
+			from = "configuration"
+		}
+		t.row(append(s.cells(), from, fmt.Sprintf("%.1f", float64(s.ConfigBytes)/1e3), fmt.Sprintf("%.1f", s.Ready.Seconds()*1e3),
+			fmt.Sprintf("%.1f", s.Followed.Seconds()*1e3), fmt.Sprintf("%.1f", float64(s.ListBytes)/1e3),
+			megabytes(s.AtReady.Resident), megabytes(s.AtReady.Peak), megabytes(s.AtFollowed.Resident), megabytes(s.AtFollowed.Peak))...)
+	}
+	return t.String()
+}
+
+func megabytes(n int64) string { return fmt.Sprintf("%.1f", float64(n)/(1<<20)) }
+
+// IdleTable tells what sidecars without traffic took. Bytes are without the headers of TCP, UDP and IP.
+func IdleTable(all []Idle) string {
+	t := newTable("peers", "servers", "seconds", "processor ms a second", "memory MB", "peak", "calls to discovery",
+		"to discovery B/s", "from discovery B/s", "datagrams told", "told B/s")
+	for _, s := range all {
+		second := func(n int64) string { return fmt.Sprintf("%.1f", float64(n)/s.Over.Seconds()) }
+		t.row(append(s.cells(), fmt.Sprintf("%.0f", s.Over.Seconds()), fmt.Sprintf("%.3f", s.Took.Seconds()*1e3/s.Over.Seconds()),
+			megabytes(s.After.Resident), megabytes(s.After.Peak), fmt.Sprint(s.List.Calls), second(s.List.In), second(s.List.Out),
+			fmt.Sprint(s.Told.Datagrams), second(s.Told.In))...)
+	}
+	return t.String()
+}
+
+// each is what a datagram cost, in microseconds, by pairs: what the sidecar took beyond what it takes when all is silent.
+func (t Told) each() spread {
+	var s spread
+	for i := range min(len(t.Told), len(t.Silent)) {
+		told, silent := t.Told[i], t.Silent[i]
+		more := told.Took.Seconds() - silent.Took.Seconds()*told.Over.Seconds()/silent.Over.Seconds()
+		s = append(s, more*1e6/float64(told.Datagrams))
+	}
+	return s
+}
+
+// shares are processor times as milliseconds a second.
+func shares(whiles []While) spread {
+	var out spread
+	for _, w := range whiles {
+		out = append(out, w.Took.Seconds()*1e3/w.Over.Seconds())
+	}
+	return out
+}
+
+// ShareTable tells what processor time goes to, in milliseconds a second.
+func ShareTable(all []Shares) string {
+	t := newTable("peers", "servers", "service ms", "calls/s", "datagrams/s", "neither", "calls alone", "datagrams alone", "both",
+		"us a call", "us a datagram", "not 200")
+	for _, s := range all {
+		neither, called, heard := shares(s.Neither), shares(s.Called), shares(s.Heard)
+		calls, datagrams, not := spread{}, spread{}, 0
+		for i, w := range s.Called {
+			calls = append(calls, (called[i]-neither[i])*1e3*w.Over.Seconds()/float64(w.Calls))
+		}
+		for i, w := range s.Heard {
+			datagrams = append(datagrams, (heard[i]-neither[i])*1e3*w.Over.Seconds()/float64(w.Datagrams))
+		}
+		for _, w := range slices.Concat(s.Called, s.Both) {
+			not += w.Calls - w.OK
+		}
+		t.row(append(s.cells(), fmt.Sprintf("%.0f", s.Service.Seconds()*1e3), fmt.Sprintf("%.1f", s.Rate), fmt.Sprintf("%.1f", s.Told),
+			neither.String(), called.String(), heard.String(), shares(s.Both).String(), calls.String(), datagrams.String(),
+			fmt.Sprint(not))...)
+	}
+	return t.String()
+}
+
+// ToldTable tells what hearing cost.
+func ToldTable(all []Told) string {
+	t := newTable("peers", "servers", "senders", "datagrams/s", "sent", "heard (last said)", "dropped", "silent: processor ms a second",
+		"told: processor ms a second", "us a datagram", "KB/s in (with headers)")
+	for _, s := range all {
+		t.row(append(s.cells(), fmt.Sprint(s.Senders), fmt.Sprintf("%.1f", s.Rate), fmt.Sprint(s.Sent), fmt.Sprint(s.Heard),
+			fmt.Sprint(s.Dropped), fmt.Sprintf("%.3g", shares(s.Silent).mean()), fmt.Sprintf("%.3g", shares(s.Told).mean()),
+			s.each().String(), fmt.Sprintf("%.1f (%.1f)", s.Rate*datagram/1e3, s.Rate*(datagram+headers)/1e3))...)
+	}
+	return t.String()
+}
+
+// Bytes of a datagram, and of its headers of UDP and IP.
+const (
+	datagram = 24
+	headers  = 28
+)
