Count a datagram's cost over those taken, and name what measures Setup

Each while now tells how many were dropped, read from /proc/net/udp, and the tables divide by the rest.

--- a/internal/overhead/overhead.go
+++ b/internal/overhead/overhead.go
@@ -29,8 +29,8 @@
 	openMost        = 64  // calls under way at most
 )
 
-// Bench has what all measurements need.
-type Bench struct {
+// Setup has what all measurements need.
+type Setup struct {
 	Program string // the path of the sidecar's program
 	Self    string // the path of a program that plays parts
 	Dir     string // for configurations; it is the caller's to remove
@@ -72,7 +72,7 @@
 
 // set starts a sidecar of that size and waits until it has taken its list. Its senders are at most so many of its
 // peers that have sockets to tell from; its servers take service over a call.
-func (b *Bench) set(ctx context.Context, z Size, senders int, service time.Duration) (r *rig, err error) {
+func (b *Setup) set(ctx context.Context, z Size, senders int, service time.Duration) (r *rig, err error) {
 	r = &rig{size: z, aim: b.Aim, senders: max(0, min(senders, z.Peers-1))}
 	defer func() {
 		if err != nil {
@@ -187,7 +187,7 @@
 
 // Call measures so many pairs of blocks of so many calls. Which of a pair comes first changes with each. A shorter pair
 // goes ahead that is not counted.
-func (b *Bench) Call(ctx context.Context, z Size, rate float64, calls, pairs int) (c Calls, err error) {
+func (b *Setup) Call(ctx context.Context, z Size, rate float64, calls, pairs int) (c Calls, err error) {
 	r, err := b.set(ctx, z, 0, 0)
 	if err != nil {
 		return Calls{}, err
@@ -285,7 +285,7 @@
 }
 
 // Idle watches sidecars of these sizes, all at once: they take next to nothing. They are started one by one.
-func (b *Bench) Idle(ctx context.Context, sizes []Size, over time.Duration) (out []Idle, err error) {
+func (b *Setup) Idle(ctx context.Context, sizes []Size, over time.Duration) (out []Idle, err error) {
 	var rigs []*rig
 	defer func() {
 		for _, r := range rigs {
@@ -359,9 +359,6 @@
 	Rate         float64 // datagrams a second
 	Silent, Told []While // in pairs
 	Heard        int64   // datagrams that the sidecar has taken, as its log last said (every 10 s)
-	Sent         int64   // and that were sent to it in all
-	Dropped      int64   // by the kernel, as its socket was full
-	Waiting      int64   // bytes that it has not read yet
 }
 
 // While is a while in a sidecar's life.
@@ -369,12 +366,13 @@
 	Over      time.Duration
 	Took      time.Duration // processor time
 	Datagrams int           // sent to it
+	Dropped   int           // of these, by the kernel: its socket was full
 	Calls, OK int           // made, and answered 200
 }
 
 // Hear measures pairs of whiles in which the sidecar hears nothing, and as many datagrams as its peers send when each
-// tells once an aim. It has no traffic.
-func (b *Bench) Hear(ctx context.Context, z Size, over time.Duration, pairs int) (t Told, err error) {
+// tells once an aim. No calls come meanwhile.
+func (b *Setup) Hear(ctx context.Context, z Size, over time.Duration, pairs int) (t Told, err error) {
 	r, err := b.set(ctx, z, mostSenders, 0)
 	if err != nil {
 		return Told{}, err
@@ -391,7 +389,7 @@
 			if err != nil {
 				return t, fmt.Errorf("hearing: %w", err)
 			}
-			if t.Sent += int64(w.Datagrams); w.Datagrams > 0 {
+			if w.Datagrams > 0 {
 				t.Told = append(t.Told, w)
 			} else {
 				t.Silent = append(t.Silent, w)
@@ -399,13 +397,16 @@
 		}
 	}
 	t.Heard = r.sidecar.heard.Load()
-	t.Dropped, t.Waiting, err = socketState(r.peerListen)
-	return t, err
+	return t, nil
 }
 
 // while has the sidecar told what the order says, if anything, and called as l says, if there is a load to do it. It
 // watches the sidecar until that is over, and for so long at least.
 func (r *rig) while(ctx context.Context, order telling, load *part, l Load, over time.Duration) (While, error) {
+	drops, _, err := socketState(r.peerListen)
+	if err != nil {
+		return While{}, err
+	}
 	begun := time.Now()
 	before, err := cpuTime(r.sidecar.pid())
 	if err != nil {
@@ -429,7 +430,13 @@
 		return While{}, err
 	}
 	after, err := cpuTime(r.sidecar.pid())
-	return While{Over: time.Since(begun), Took: after - before, Datagrams: order.Count, Calls: result.Calls, OK: result.OK}, err
+	if err != nil {
+		return While{}, err
+	}
+	w := While{Over: time.Since(begun), Took: after - before, Datagrams: order.Count, Calls: result.Calls, OK: result.OK}
+	dropped, _, err := socketState(r.peerListen)
+	w.Dropped = int(dropped - drops)
+	return w, err
 }
 
 // Shares tells what a sidecar's processor time goes to, in whiles with and without calls and datagrams, in turns.
@@ -441,7 +448,7 @@
 }
 
 // Share measures rounds of such whiles, of so long each.
-func (b *Bench) Share(ctx context.Context, z Size, rate float64, service, over time.Duration, rounds int) (s Shares, err error) {
+func (b *Setup) Share(ctx context.Context, z Size, rate float64, service, over time.Duration, rounds int) (s Shares, err error) {
 	r, err := b.set(ctx, z, mostSenders, service)
 	if err != nil {
 		return Shares{}, err
--- a/internal/overhead/overhead_test.go
+++ b/internal/overhead/overhead_test.go
@@ -61,9 +61,9 @@
 	return path
 }
 
-func bench(t *testing.T, aim time.Duration) *Bench {
+func setup(t *testing.T, aim time.Duration) *Setup {
 	t.Helper()
-	return &Bench{Program: program(t), Self: os.Args[0], Dir: t.TempDir(), Aim: aim}
+	return &Setup{Program: program(t), Self: os.Args[0], Dir: t.TempDir(), Aim: aim}
 }
 
 // Every call through the real program is answered 200 and reaches a server once, and every datagram of a listed peer
@@ -73,7 +73,7 @@
 		long(t)
 		return
 	}
-	b, ctx := bench(t, generous), t.Context()
+	b, ctx := setup(t, generous), t.Context()
 	calls, err := b.Call(ctx, Size{Peers: 16, Servers: 16, Known: true}, callsEach, 100, 1)
 	if err != nil {
 		t.Fatal(err)
@@ -143,7 +143,7 @@
 
 // long measures. What else the machine does is for its reader to say.
 func long(t *testing.T) {
-	b, ctx := bench(t, 2*time.Second), t.Context()
+	b, ctx := setup(t, 2*time.Second), t.Context()
 	load := func() string {
 		raw, err := os.ReadFile("/proc/loadavg")
 		if err != nil {
@@ -350,7 +350,7 @@
 			t.Errorf("no %q in\n%s", want, out)
 		}
 	}
-	told := Told{Told: []While{{Over: 2 * time.Second, Took: 5 * time.Millisecond, Datagrams: 1000}},
+	told := Told{Told: []While{{Over: 2 * time.Second, Took: 5 * time.Millisecond, Datagrams: 1500, Dropped: 500}},
 		Silent: []While{{Over: time.Second, Took: time.Millisecond}}}
 	near("us a datagram", told.each(), 3)
 	whiles := func(took time.Duration) []While {
@@ -358,7 +358,7 @@
 	}
 	out = ShareTable([]Shares{{Neither: whiles(2 * time.Millisecond), Called: whiles(4 * time.Millisecond),
 		Heard: whiles(3 * time.Millisecond), Both: whiles(5 * time.Millisecond)}})
-	if want := "| 200 (sd 0; 200 to 200) | 10 (sd 0; 10 to 10) | 2 |"; !strings.Contains(out, want) {
+	if want := "| 200 (sd 0; 200 to 200) | 10 (sd 0; 10 to 10) | 3 | 0 |"; !strings.Contains(out, want) {
 		t.Errorf("no %q in\n%s", want, out)
 	}
 }
--- a/internal/overhead/table.go
+++ b/internal/overhead/table.go
@@ -155,13 +155,14 @@
 	return t.String()
 }
 
-// each is what a datagram cost, in microseconds, by pairs: what the sidecar took beyond what it takes when all is silent.
+// each is what a datagram that was not dropped cost, in microseconds, by pairs: what the sidecar took beyond what it
+// takes when all is silent.
 func (t Told) each() spread {
 	var s spread
 	for i := range min(len(t.Told), len(t.Silent)) {
 		told, silent := t.Told[i], t.Silent[i]
 		more := told.Took.Seconds() - silent.Took.Seconds()*told.Over.Seconds()/silent.Over.Seconds()
-		s = append(s, more*1e6/float64(told.Datagrams))
+		s = append(s, more*1e6/float64(told.Datagrams-told.Dropped))
 	}
 	return s
 }
@@ -178,22 +179,22 @@
 // ShareTable tells what processor time goes to, in milliseconds a second.
 func ShareTable(all []Shares) string {
 	t := newTable("peers", "servers", "service ms", "calls/s", "datagrams/s", "neither", "calls alone", "datagrams alone", "both",
-		"us a call", "us a datagram", "not 200")
+		"us a call", "us a datagram", "not 200", "dropped")
 	for _, s := range all {
 		neither, called, heard := shares(s.Neither), shares(s.Called), shares(s.Heard)
-		calls, datagrams, not := spread{}, spread{}, 0
+		calls, datagrams, not, dropped := spread{}, spread{}, 0, 0
 		for i, w := range s.Called {
 			calls = append(calls, (called[i]-neither[i])*1e3*w.Over.Seconds()/float64(w.Calls))
 		}
 		for i, w := range s.Heard {
-			datagrams = append(datagrams, (heard[i]-neither[i])*1e3*w.Over.Seconds()/float64(w.Datagrams))
+			datagrams = append(datagrams, (heard[i]-neither[i])*1e3*w.Over.Seconds()/float64(w.Datagrams-w.Dropped))
 		}
-		for _, w := range slices.Concat(s.Called, s.Both) {
-			not += w.Calls - w.OK
+		for _, w := range slices.Concat(s.Called, s.Heard, s.Both) {
+			not, dropped = not+w.Calls-w.OK, dropped+w.Dropped
 		}
 		t.row(append(s.cells(), fmt.Sprintf("%.0f", s.Service.Seconds()*1e3), fmt.Sprintf("%.1f", s.Rate), fmt.Sprintf("%.1f", s.Told),
 			neither.String(), called.String(), heard.String(), shares(s.Both).String(), calls.String(), datagrams.String(),
-			fmt.Sprint(not))...)
+			fmt.Sprint(not), fmt.Sprint(dropped))...)
 	}
 	return t.String()
 }
@@ -203,8 +204,12 @@
 	t := newTable("peers", "servers", "senders", "datagrams/s", "sent", "heard (last said)", "dropped", "silent: processor ms a second",
 		"told: processor ms a second", "us a datagram", "KB/s in (with headers)")
 	for _, s := range all {
-		t.row(append(s.cells(), fmt.Sprint(s.Senders), fmt.Sprintf("%.1f", s.Rate), fmt.Sprint(s.Sent), fmt.Sprint(s.Heard),
-			fmt.Sprint(s.Dropped), fmt.Sprintf("%.3g", shares(s.Silent).mean()), fmt.Sprintf("%.3g", shares(s.Told).mean()),
+		sent, dropped := 0, 0
+		for _, w := range s.Told {
+			sent, dropped = sent+w.Datagrams, dropped+w.Dropped
+		}
+		t.row(append(s.cells(), fmt.Sprint(s.Senders), fmt.Sprintf("%.1f", s.Rate), fmt.Sprint(sent), fmt.Sprint(s.Heard),
+			fmt.Sprint(dropped), fmt.Sprintf("%.3g", shares(s.Silent).mean()), fmt.Sprintf("%.3g", shares(s.Told).mean()),
 			s.each().String(), fmt.Sprintf("%.1f (%.1f)", s.Rate*datagram/1e3, s.Rate*(datagram+headers)/1e3))...)
 	}
 	return t.String()
