Have the model's sidecars call discovery again beside calls that hang, as the real ones do

Seen: internal/fleet follows discovery with the times of internal/sidecar as they were; regions apart for a while took 6.1 to 8.9 s from the heal until all knew, most of it calls sent into the cut that hung for 6 s. Design: the same second call after 2 s as discovery.go: fetch, the first answer holds.

--- a/internal/fleet/sidecar.go
+++ b/internal/fleet/sidecar.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"time"
 
 	"arrowgw/internal/gossip"
@@ -16,6 +17,7 @@
 	watchMost    = 20 * time.Second
 	firstWait    = time.Millisecond
 	listTime     = 6 * time.Second
+	callAgain    = 2 * time.Second
 	silenceAfter = 500 * time.Millisecond
 )
 
@@ -40,7 +42,7 @@
 	heard     bool // a call went well since
 	silent    bool // the last watch was not answered
 	calls     int  // counted, so that what comes late is told from what is awaited
-	call      *call
+	open      []*call
 }
 
 // ask is what a client wants; it may try more than once.
@@ -381,37 +383,61 @@
 	}
 	s.calls++
 	number := s.calls
-	c := &call{zone: s.zone, index: index, wait: hold}
-	c.answer = func(a answer, err string) {
-		if s.calls == number {
+	var begin func()
+	begin = func() {
+		c := &call{zone: s.zone, index: index, wait: hold}
+		s.open = append(s.open, c)
+		c.answer = func(a answer, err string) {
+			if s.calls != number || c.ended {
+				return
+			}
+			if s.drop(c); err != "" && len(s.open) > 0 {
+				return // another may do better
+			}
 			s.giveUp()
 			s.answered(index, a, err)
 		}
-	}
-	s.call = c
-	f.count.Lists.Out.add(onWire(callBytes))
-	f.network.stream(s.zone, 0, func() { f.discovery.take(c) })
-	f.clock.after(limit, func() {
-		if s.calls != number {
-			return
-		}
-		s.giveUp()
-		if watching {
-			s.silent = true
-			s.next()
-			return
+		f.count.Lists.Out.add(onWire(callBytes))
+		f.network.stream(s.zone, 0, func() { f.discovery.take(c) })
+		f.clock.after(limit, func() {
+			if s.calls != number || c.ended {
+				return
+			}
+			if s.drop(c); len(s.open) > 0 {
+				return
+			}
+			s.giveUp()
+			if watching {
+				s.silent = true
+				s.next()
+				return
+			}
+			s.failed()
+		})
+		if !watching {
+			f.clock.after(callAgain, func() {
+				if s.calls == number {
+					begin()
+				}
+			})
 		}
-		s.failed()
-	})
+	}
+	begin()
+}
+
+// drop takes that one call has come to nothing.
+func (s *sidecar) drop(c *call) {
+	c.ended = true
+	s.open = slices.DeleteFunc(s.open, func(o *call) bool { return o == c })
 }
 
-// giveUp ends the call that is under way.
+// giveUp ends the calls that are under way.
 func (s *sidecar) giveUp() {
 	s.calls++
-	if s.call != nil {
-		s.call.ended = true
-		s.call = nil
+	for _, c := range s.open {
+		c.ended = true
 	}
+	s.open = nil
 }
 
 // answered takes the answer to a call.
