--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -34,15 +34,8 @@
 	t.Helper()
 	rng := rand.New(rand.NewPCG(seed, 9))
 	all := f.warm + f.cold
-	class := func(worth float64, e Effect) Class {
-		return Class{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: worth, Effect: e, Window: 6 * time.Second}
-	}
-	cfg := Config{
-		Balancers: f.processes, Classes: []Class{class(1, Safe), class(8, Keyed)},
-		Tenants:     []Tenant{{Share: 0.42}, {Share: 0.33}, {Share: 0.25}},
-		MaxAttempts: 6, MayCancel: true, MayTell: true, MaxRetryAfter: 2 * time.Second, MarksRepeat: true, Tick: ms,
-		ColdFrom: 0.32, ColdTime: 8400 * ms, ColdMultiple: 4,
-	}
+	cfg := sizeConfig(f.processes)
+	cfg.AskList, cfg.CrossZonePrice = false, 0
 	total := coldQuota * coldPerSec * float64(all)
 	for i := range cfg.Tenants {
 		cfg.Tenants[i].Quota = cfg.Tenants[i].Share * total
--- a/policy/helpers_test.go
+++ b/policy/helpers_test.go
@@ -186,3 +186,16 @@
 		b.classes[i].asked = recent{}
 	}
 }
+
+// sizeConfig is like the settings of the days at size.
+func sizeConfig(balancers int) Config {
+	class := func(worth float64, e Effect) Class {
+		return Class{Aim: 500 * ms, Deadline: 2 * time.Second, Worth: worth, Effect: e, Window: 6 * time.Second}
+	}
+	return Config{
+		Balancers: balancers, Classes: []Class{class(1, Safe), class(8, Keyed)},
+		Tenants:     []Tenant{{Share: 0.42, Quota: 764}, {Share: 0.33, Quota: 600}, {Share: 0.25, Quota: 455}},
+		MaxAttempts: 6, MayCancel: true, MayTell: true, MaxRetryAfter: 2 * time.Second, MarksRepeat: true, Tick: ms,
+		AskList: true, AskWithin: 10 * time.Second, ColdFrom: 0.32, ColdTime: 8400 * ms, ColdMultiple: 4, CrossZonePrice: 0.12,
+	}
+}
