Decide at the same cost for any number of peers and servers

Seen: a request's decisions took 1.4 us with 16 peers and 16 servers, 35 us with 11,000 peers, 16 us with 11,000 servers, 46 us with 11,000 of each, at 373 calls a second: over 1.9% of a core at the last.

At fault: share walked all peers at each attempt; turnOf looked at the whole arc (370 servers) and worked out ease for each, though all it goes by but the server's own measure is the same for all; ready() made a new list at each cut.

Ruled out: a heap of turns, as a server that holds its portion is passed over and the next in order must be found; one array in which the taken server moves (1.6 times at 373 servers: the array moves at each turn); List, which is not quadratic where it counts (11,000 unsorted lines 21 ms, 2 us a line; 200 lines 0.9 us a line) and is left alone.

Design: decisions are unchanged, and what they go by is kept as events come. - peers that are believed make a ring in the order in which they told, with the sum of their rates; old ones are dropped from its front, and the sum is added up anew every so many changes, so that rounding does not build up. - the arc is kept in the order of its turns as well: the first that may have the turn has it, and those passed over before it are the walled ones. A server taken goes back by binary search; only what lies before and behind moves. - ease goes by two figures that an answer or a list changes; setEase works them out then. It stands in peers.go now, with the rest of crowding. - servers that are ready are listed once for each list, and a cut walks the arcs before and after alone. What stays linear: a further try bound to where it has been, with none of the arc free, looks at all servers.

--- a/policy/bench_test.go
+++ b/policy/bench_test.go
@@ -6,25 +6,125 @@
 	"time"
 )
 
-// BenchmarkRequest measures a request and its outcome over list sizes: the growth with the list is what counts.
+// benchRate is requests a second at each balancer, as at the size the design is for.
+const benchRate = 373
+
+// BenchmarkRequest measures what the decisions of a request take (its start and its end, and its part of the
+// calls of Wake) over the number of peers and of servers: it must be the same at any size. What peers tell
+// comes meanwhile at the rate at which they tell it, and is measured by itself: ns/news is for one datagram,
+// news/op are those that come for each request.
 func BenchmarkRequest(b *testing.B) {
-	for _, servers := range []ServerID{10, 70, 290} {
-		b.Run(fmt.Sprintf("servers=%d", servers), func(b *testing.B) {
-			cfg := testConfig()
-			cfg.Balancers = 150
-			cfg.Tenants = []Tenant{{Share: 1, Quota: 2000}}
-			var list []Server
-			for id := range servers {
-				list = append(list, Server{ID: id, State: Ready, Weight: 1})
+	for _, peers := range []int{16, 300, 1000, 11000} {
+		for _, servers := range []int{16, 200, 11000} {
+			b.Run(fmt.Sprintf("peers=%d/servers=%d", peers, servers), func(b *testing.B) { benchRequests(b, peers, servers) })
+		}
+	}
+}
+
+// BenchmarkList measures a whole list, and then one changed line.
+func BenchmarkList(b *testing.B) {
+	for _, servers := range []int{16, 200, 11000} {
+		list := benchList(servers)
+		b.Run(fmt.Sprintf("full/servers=%d", servers), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				start(b, benchConfig(16), list)
+			}
+		})
+		b.Run(fmt.Sprintf("again/servers=%d", servers), func(b *testing.B) {
+			x, _ := start(b, benchConfig(16), list)
+			b.ReportAllocs()
+			for b.Loop() {
+				x.List(0, ListFull, list)
 			}
-			x, _ := start(b, cfg, list)
+		})
+		b.Run(fmt.Sprintf("delta/servers=%d", servers), func(b *testing.B) {
+			x, _ := start(b, benchConfig(16), list)
 			b.ReportAllocs()
-			for i := 0; b.Loop(); i++ {
-				now := time.Duration(i) * 75 * ms
-				ask(x, now, RequestID(i), safeClass)
-				end(x, now+20*ms, RequestID(i), 0, Served)
-				x.Wake(now + 40*ms)
+			for b.Loop() {
+				x.List(0, ListDelta, list[:1])
 			}
 		})
 	}
 }
+
+func benchConfig(peers int) Config {
+	cfg := fleetConfig(peers)
+	cfg.Tenants = []Tenant{{Share: 1, Quota: benchRate * float64(peers)}}
+	return cfg
+}
+
+// benchList is in no order of ids, as discovery's is.
+func benchList(servers int) (list []Server) {
+	for i := range servers {
+		list = append(list, Server{ID: ServerID(0x9e3779b97f4a7c15 * uint64(i+1)), Zone: i % 2, State: Ready, Weight: 1})
+	}
+	return list
+}
+
+// silentHost carries nothing out, so that only the decisions are measured.
+type silentHost struct{ fakeHost }
+
+func (*silentHost) Send(RequestID, ServerID, time.Duration) {}
+func (*silentHost) Refuse(RequestID, time.Duration)         {}
+func (*silentHost) Fail(RequestID)                          {}
+func (*silentHost) Cancel(RequestID, int)                   {}
+func (*silentHost) Wake(time.Duration)                      {}
+func (*silentHost) WatchList()                              {}
+func (*silentHost) Tell(News)                               {}
+
+func benchRequests(b *testing.B, peers, servers int) {
+	cfg := benchConfig(peers)
+	x, err := New(cfg, 1, new(silentHost))
+	if err != nil {
+		b.Fatal(err)
+	}
+	const apart, took = time.Second / benchRate, 20 * ms
+	now := time.Second
+	x.Start(now)
+	x.List(now, ListFull, benchList(servers))
+	var next, done RequestID
+	var wake time.Duration
+	told, owed, news := 1, 0.0, 0
+	hear := func() {
+		for owed += float64(peers-1) * float64(apart) / float64(x.aims(tellAims)); owed >= 1; owed-- {
+			x.Heard(now, told, News{At: now - ms, Rate: benchRate, Answers: benchRate / 2, Crowd: 0.0016})
+			told, news = told%(peers-1)+1, news+1
+		}
+	}
+	decide := func() {
+		next++
+		x.Request(now, Request{ID: next, Class: int(next % 2), Left: time.Second})
+		for ; done+RequestID(took/apart) < next; done++ {
+			x.Outcome(now, Outcome{ID: done + 1, Ending: Served, Settled: true})
+		}
+		if now >= wake {
+			x.Wake(now)
+			wake = now + busyTick
+		}
+	}
+	for range 20 * benchRate { // until its rate is known, and everyone has told
+		now += apart
+		hear()
+		decide()
+	}
+	news = 0
+	before := x.Counters()
+	var deciding, hearing time.Duration
+	b.ReportAllocs()
+	for b.Loop() {
+		now += apart
+		begun := time.Now()
+		hear()
+		heard := time.Now()
+		decide()
+		deciding += time.Since(heard)
+		hearing += heard.Sub(begun)
+	}
+	if after := x.Counters(); after.Refused != before.Refused || after.Held != before.Held || after.Ordinary == before.Ordinary {
+		b.Fatalf("not the ordinary path: %+v, %+v before", after, before)
+	}
+	b.ReportMetric(float64(deciding.Nanoseconds())/float64(b.N), "ns/request")
+	b.ReportMetric(float64(hearing.Nanoseconds())/max(1, float64(news)), "ns/news")
+	b.ReportMetric(float64(news)/float64(b.N), "news/op")
+}
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -19,6 +19,7 @@
 	servers  map[ServerID]*modelServer
 	sidecars []*modelSidecar
 	jobs     []*job // by RequestID
+	each     func() // after each event, where set
 
 	asked, refused, failed, late, inTime [2]int // by class: 0 is of little worth, 1 of much
 	held                                 float64
@@ -159,6 +160,9 @@
 		}
 		f.now = e.at
 		e.do()
+		if f.each != nil {
+			f.each()
+		}
 	}
 	f.now = end
 }
--- a/policy/peers.go
+++ b/policy/peers.go
@@ -27,15 +27,20 @@
 	Crowd   float64       // mean square of the share of the aim that these took
 }
 
-// peer is what another balancer last told of itself.
+// peer is what another balancer last told of itself. Those believed make a ring, in the order of when
+// they told; one that is not is a ring by itself.
 type peer struct {
-	at   time.Duration
-	rate float64
+	at             time.Duration
+	rate           float64
+	earlier, later int32
 }
 
 // gossip is what a balancer knows of the fleet and is about to tell.
 type gossip struct {
-	peers      []peer // by their numbers
+	peers      []peer  // by their numbers; one more begins and ends the ring
+	believed   int     // peers in the ring
+	rates      float64 // sum of theirs
+	changes    int     // to the sum, since it was last added up
 	tellAt     time.Duration
 	quiet      int     // times in a row that there was nothing to tell
 	answers    float64 // since it was last told
@@ -97,7 +102,7 @@
 		return
 	}
 	b.count.Heard++
-	b.news.peers[from] = peer{n.At, n.Rate}
+	b.news.believe(int32(from), n)
 	b.learn(now, n.Answers, n.Crowd)
 }
 
@@ -131,17 +136,12 @@
 		return 1 / float64(b.cfg.Balancers)
 	}
 	own := b.asks(now)
-	all := own
-	for i := range b.news.peers {
-		switch p := &b.news.peers[i]; {
-		case i == b.cfg.Index:
-		case p.at == 0 || now-p.at > b.aims(newsFor):
-			all += even // nothing is known of it
-		default:
-			all += p.rate
-		}
+	b.news.forget(now - b.aims(newsFor))
+	unknown := float64(b.cfg.Balancers - b.news.believed)
+	if b.cfg.Index < b.cfg.Balancers {
+		unknown-- // all but this one
 	}
-	return own / max(all, even)
+	return own / max(own+b.news.rates+unknown*even, even)
 }
 
 // wall is how many attempts this balancer may have out: all its slots, less what crowding takes from the slots
@@ -153,3 +153,34 @@
 	}
 	return max(1, min(float64(b.slots), float64(b.slots*b.cfg.Balancers)*ease*b.share(now)))
 }
+
+// ease is the share of its portion that crowding leaves. Where the slots of all balancers together are
+// more than servers can bear, each gives way so many times sooner: then they all do before servers choke.
+//
+// Answers that take a large share of the aim when nobody crowds are no crowd: the limit is then some times
+// what they take at the least, and servers bear what the quotas hold in that time (Little's law).
+func (b *Balancer) ease(used float64) float64 { return min(1, b.limit/max(used*b.over, 1e-4)) }
+
+// setEase works out what ease goes by and no single server changes: after each answer and each list.
+func (b *Balancer) setEase() {
+	servers, share := float64(max(1, b.most)), b.unloaded.leastShare
+	bears := max(bearable, bearFor*b.quota*b.unloaded.least.Seconds()/servers)
+	b.over = max(1, float64(b.slots*b.cfg.Balancers)/(bears*servers))
+	b.limit = max(crowdedAt*crowdedAt, min(crowdFor*share*share, crowdLimit*crowdLimit))
+}
+
+// learn takes the time of an answer and the share of its aim that it is. The least drifts up, as what it
+// was may hold no more; slowly, or a crowd that stays would pass for what answers take.
+func (u *unloaded) learn(took time.Duration, share float64) {
+	u.answers = min(u.answers+1, leastOver)
+	u.mean += (took - u.mean) / time.Duration(u.answers)
+	u.meanShare += (share - u.meanShare) / float64(u.answers)
+	switch {
+	case u.answers < leastOver: // too few to tell
+	case u.least == 0:
+		u.least, u.leastShare = u.mean, u.meanShare
+	default:
+		u.least = min(u.mean, u.least+u.least/leastDrift)
+		u.leastShare = min(u.meanShare, u.leastShare+u.leastShare/leastDrift)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -58,7 +58,7 @@
 	}
 	b := &Balancer{cfg: cfg, host: host, requests: make(map[RequestID]*request), lines: make(map[uint64]*line)}
 	b.parts = make([]compartment, len(cfg.tenants()))
-	b.news.peers = make([]peer, cfg.Balancers)
+	b.news.start(cfg.Balancers)
 	b.rng = rand.New(rand.NewPCG(seed, 0))
 	b.pace, b.every = cfg.Classes[0].Aim/8, turnEvery.Seconds()
 	for _, c := range cfg.Classes {
@@ -94,6 +94,7 @@
 		c.places = int(math.Ceil(float64(c.slots) * placesShare))
 		b.slots += c.slots
 	}
+	b.setEase()
 }
 
 // Start begins the Balancer's life; it must be the first event.
@@ -447,15 +448,15 @@
 // weight after its last turn, and the one due first has its turn. It loses it while it holds its
 // portion of our attempts, or if the request has been there already.
 func (b *Balancer) pick(now time.Duration, r *request) *server {
-	best, walled := b.turnOf(now, r, b.arc)
+	best, walled := b.turnOf(now, r, b.turns, true)
 	if best == nil && r.ran() != nil { // bound to where it has been
-		best, walled = b.turnOf(now, r, b.servers)
+		best, walled = b.turnOf(now, r, b.servers, false)
 	}
 	if best == nil {
 		return nil
 	}
 	b.turn = max(b.turn, best.due)
-	best.due = b.turn + b.gap(now, best)
+	b.putBack(best, b.turn+b.gap(now, best))
 	switch {
 	case walled:
 		b.count.Walled++
@@ -472,49 +473,16 @@
 	return max(1, b.part(float64(b.slots), s)*b.weight/b.reach*b.ease(s.used))
 }
 
-// ease is the share of its portion that crowding leaves. Where the slots of all balancers together are
-// more than servers can bear, each gives way so many times sooner: then they all do before servers choke.
-//
-// Answers that take a large share of the aim when nobody crowds are no crowd: the limit is then some times
-// what they take at the least, and servers bear what the quotas hold in that time (Little's law).
-func (b *Balancer) ease(used float64) float64 {
-	servers, share := float64(max(1, b.most)), b.unloaded.leastShare
-	bears := max(bearable, bearFor*b.quota*b.unloaded.least.Seconds()/servers)
-	over := float64(b.slots*b.cfg.Balancers) / (bears * servers)
-	limit := max(crowdedAt*crowdedAt, min(crowdFor*share*share, crowdLimit*crowdLimit))
-	return min(1, limit/max(used*max(1, over), 1e-4))
-}
-
-// learn takes the time of an answer and the share of its aim that it is. The least drifts up, as what it
-// was may hold no more; slowly, or a crowd that stays would pass for what answers take.
-func (u *unloaded) learn(took time.Duration, share float64) {
-	u.answers = min(u.answers+1, leastOver)
-	u.mean += (took - u.mean) / time.Duration(u.answers)
-	u.meanShare += (share - u.meanShare) / float64(u.answers)
-	switch {
-	case u.answers < leastOver: // too few to tell
-	case u.least == 0:
-		u.least, u.leastShare = u.mean, u.meanShare
-	default:
-		u.least = min(u.mean, u.least+u.least/leastDrift)
-		u.leastShare = min(u.meanShare, u.leastShare+u.leastShare/leastDrift)
-	}
-}
-
 // cut picks the servers to take turns among. A thousand balancers of few requests each would hold
 // connections to all servers and never learn how any of them fares, so each keeps to an arc of the
 // list that its own traffic can feed. Arcs begin evenly spread, by the balancers' numbers.
 func (b *Balancer) cut() {
 	b.wanted = max(fewest, b.rate*b.every)
 	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
-	all, left := b.ready(), b.wanted
-	b.reach, b.arc = 0, nil
-	for i := range all {
+	all, left, before := b.ready, b.wanted, b.arc
+	b.reach, b.arc = 0, make([]*server, 0, min(len(all), int(min(left, math.MaxInt32))+1))
+	for i := 0; i < len(all) && left > 0; i++ {
 		s := all[(int(start*float64(len(all)))+i)%len(all)]
-		if left <= 0 {
-			s.ours = false
-			continue
-		}
 		if !s.ours { // at a random point of its round: balancers must not begin in step
 			s.ours, s.due = true, b.turn+b.rng.Float64()*b.gap(b.rateAt, s)
 		}
@@ -522,6 +490,7 @@
 		b.reach += s.Weight
 		b.arc = append(b.arc, s)
 	}
+	b.order(before)
 }
 
 // gap is the time between a server's turns, in turns' own time. It is bounded, so that turns show recovery.
@@ -534,8 +503,10 @@
 	return gap
 }
 
-// turnOf finds whose turn it is, and whether a server that holds its portion lost it.
-func (b *Balancer) turnOf(now time.Duration, r *request, among []*server) (best *server, walled bool) {
+// turnOf finds whose turn it is, and whether a server that holds its portion lost it. Among servers in the
+// order of their turns it is the first that may have it.
+func (b *Balancer) turnOf(now time.Duration, r *request, among []*server, sorted bool) (*server, bool) {
+	var best *server
 	lost := math.Inf(1)
 	for _, s := range among {
 		switch {
@@ -544,6 +515,8 @@
 			lost = min(lost, s.due)
 		case float64(s.out) >= b.portion(s) || b.fuller(now, r, s):
 			lost = min(lost, s.due)
+		case sorted:
+			return s, lost < s.due
 		case best == nil || s.due < best.due:
 			best = s
 		}
@@ -576,6 +549,7 @@
 		x = min(x, float64(took)/float64(r.class.pace))
 		r.class.pace += (took - r.class.pace) / 16
 		b.unloaded.learn(took, float64(took)/float64(r.class.Aim))
+		b.setEase()
 		b.pace += (took - b.pace) / 32
 		if s.silent > 0 && s.strain > failStrain/2 && now-s.silent > time.Second { // restarted, maybe
 			s.warmAt = max(s.warmAt, now+b.cfg.ColdTime)
@@ -666,7 +640,7 @@
 	if !b.cfg.MayProbe || b.cfg.Reports&HasInFlight == 0 || b.fresh < pairsMost-1 || r.asked >= askMost {
 		return false
 	}
-	s, _ := b.turnOf(now, r, b.arc)
+	s, _ := b.turnOf(now, r, b.turns, true)
 	if s == nil || (s.toldAt > 0 && now-s.toldAt < toldFor) {
 		return false
 	}
--- a/policy/random_test.go
+++ b/policy/random_test.go
@@ -240,6 +240,7 @@
 		w.step(pick)
 		w.drains()
 		w.account()
+		compare(t, b, w.now)
 	}
 	for range 600 { // everything left is answered in time
 		w.now += 5 * ms
--- a/policy/state.go
+++ b/policy/state.go
@@ -12,6 +12,7 @@
 	Server
 	out    int           // this balancer's attempts there
 	ours   bool          // in our arc
+	place  int           // and there: who of those due at the same time goes first
 	due    float64       // smooth weighted round robin: when its next turn is, in turns' own time
 	strain float64       // time that its answers take, against the usual; failures count too
 	used   float64       // mean square of the share of the aim that its answers take, lately
@@ -120,10 +121,14 @@
 	most     int        // ready servers, the most that there were
 	out      int
 	turn     float64       // due time of the latest turn
+	ready    []*server     // in order of their ids
 	arc      []*server     // whom turns are taken among
+	turns    []*server     // these in order of their turns
 	crowd    float64       // mean square of the share of the aim that answers take, lately
 	crowdAt  time.Duration // when it was taken
 	unloaded unloaded
+	limit    float64       // a server is crowded over this mean square of shares of the aim (setEase)
+	over     float64       // so many times sooner, as slots are more than servers can bear
 	reach    float64       // the weight in it
 	rate     float64       // requests a second, lately
 	rateAt   time.Duration // when it was taken
@@ -196,14 +201,56 @@
 
 // weigh adds up the weights of the ready servers.
 func (b *Balancer) weigh() {
-	b.weight = 0
+	b.weight, b.ready = 0, b.ready[:0]
 	for _, s := range b.servers {
 		if s.State == Ready {
 			b.weight += s.Weight
+			b.ready = append(b.ready, s)
 		}
 	}
-	b.full, b.most = max(b.full, b.weight), max(b.most, len(b.ready()))
+	clear(b.ready[len(b.ready):cap(b.ready)]) // what left is held no longer
+	b.full, b.most = max(b.full, b.weight), max(b.most, len(b.ready))
+	b.setEase()
 	b.cut()
+	for _, s := range b.ready { // one back after it drained may have been in an arc before
+		s.ours = s.place < len(b.arc) && b.arc[s.place] == s
+	}
+}
+
+// order puts the arc in the order of its turns, and drops those of the arc before that are in it no longer.
+func (b *Balancer) order(before []*server) {
+	b.turns = slices.Clone(b.arc)
+	for i, s := range b.arc {
+		s.place = i
+	}
+	for _, s := range before {
+		if s.State == Ready && (s.place >= len(b.arc) || b.arc[s.place] != s) {
+			s.ours = false
+		}
+	}
+	slices.SortFunc(b.turns, sooner)
+}
+
+// sooner compares servers by their turns.
+func sooner(s, o *server) int {
+	if n := cmp.Compare(s.due, o.due); n != 0 {
+		return n
+	}
+	return s.place - o.place
+}
+
+// putBack has a server's next turn come when it is due. Most are taken from near the front and go back near the
+// end: only what lies before it and behind its new place moves, and the front moves on through its array.
+func (b *Balancer) putBack(s *server, due float64) {
+	s.due = due
+	i := slices.Index(b.turns, s)
+	if i < 0 { // bound to where it has been, outside our arc
+		return
+	}
+	copy(b.turns[1:], b.turns[:i])
+	b.turns = b.turns[1:]
+	n, _ := slices.BinarySearchFunc(b.turns, s, sooner)
+	b.turns = slices.Insert(b.turns, n, s)
 }
 
 // part is a server's part of a total by its weight in the fullest list there was.
@@ -219,16 +266,6 @@
 	}
 }
 
-// ready returns the ready servers, in order of their ids.
-func (b *Balancer) ready() (all []*server) {
-	for _, s := range b.servers {
-		if s.State == Ready {
-			all = append(all, s)
-		}
-	}
-	return all
-}
-
 // tally counts a request taken, for the budget.
 func (b *Balancer) tally(now time.Duration) {
 	b.taken.since(now - b.cfg.Budget.Span)
@@ -300,3 +337,60 @@
 		b.feed(now)
 	}
 }
+
+// start makes room for so many balancers, of which none has told yet.
+func (g *gossip) start(balancers int) {
+	g.peers = make([]peer, balancers+1)
+	for i := range g.peers {
+		g.peers[i].earlier, g.peers[i].later = int32(i), int32(i)
+	}
+}
+
+// believe takes what a peer told last, in its place: most news comes in the order in which it was told.
+func (g *gossip) believe(from int32, n News) {
+	p, end := &g.peers[from], int32(len(g.peers)-1)
+	if p.later != from {
+		g.drop(from)
+	}
+	p.at, p.rate = n.At, n.Rate
+	g.rates += n.Rate
+	g.believed++
+	after := g.peers[end].earlier
+	for after != end && g.peers[after].at > n.At {
+		after = g.peers[after].earlier
+	}
+	p.earlier, p.later = after, g.peers[after].later
+	g.peers[p.earlier].later, g.peers[p.later].earlier = from, from
+	if g.changes++; g.changes >= len(g.peers) {
+		g.sum()
+	}
+}
+
+// drop takes a peer out of the ring: its news is old.
+func (g *gossip) drop(i int32) {
+	p := &g.peers[i]
+	g.peers[p.earlier].later, g.peers[p.later].earlier = p.later, p.earlier
+	p.earlier, p.later = i, i
+	g.believed--
+	g.rates -= p.rate
+}
+
+// forget drops the peers that told before then.
+func (g *gossip) forget(then time.Duration) {
+	end := int32(len(g.peers) - 1)
+	for i := g.peers[end].later; i != end && g.peers[i].at < then; i = g.peers[end].later {
+		g.drop(i)
+	}
+	if g.believed == 0 {
+		g.rates = 0
+	}
+}
+
+// sum adds the rates up anew: errors of rounding must not.
+func (g *gossip) sum() {
+	end := int32(len(g.peers) - 1)
+	g.rates, g.changes = 0, 0
+	for i := g.peers[end].later; i != end; i = g.peers[i].later {
+		g.rates += g.peers[i].rate
+	}
+}
