Let one stub turn away, and one place of the model charge processor time

Tests and the model of a fleet alone; no assertion and no count is changed, nothing of the program is touched.

--- a/internal/fleet/sidecar.go
+++ b/internal/fleet/sidecar.go
@@ -94,7 +94,6 @@
 // stop ends the sidecar and its clients with it.
 func (s *sidecar) stop() {
 	s.life++
-	s.calls++
 	s.b, s.held = nil, nil
 	s.giveUp()
 }
@@ -107,24 +106,25 @@
 	return time.Now()
 }
 
-// control and serving end a measure.
+// control ends a measure of what does not belong to one request.
 func (s *sidecar) control(from time.Time) {
-	if s.f.cfg.Measure {
-		took := time.Since(from)
-		s.f.count.ControlTime += took
-		if s.busy {
-			s.f.count.BusyControlTime += took
-		}
-	}
+	s.charge(from, &s.f.count.ControlTime, &s.f.count.BusyControlTime)
 }
 
+// serving ends a measure of what a request takes.
 func (s *sidecar) serving(from time.Time) {
-	if s.f.cfg.Measure {
-		took := time.Since(from)
-		s.f.count.RequestTime += took
-		if s.busy {
-			s.f.count.BusyRequestTime += took
-		}
+	s.charge(from, &s.f.count.RequestTime, &s.f.count.BusyRequestTime)
+}
+
+// charge adds the processor time since from to that of all sidecars, and to that of the busy ones for one of these.
+func (s *sidecar) charge(from time.Time, all, busy *time.Duration) {
+	if !s.f.cfg.Measure {
+		return
+	}
+	took := time.Since(from)
+	*all += took
+	if s.busy {
+		*busy += took
 	}
 }
 
--- a/internal/sidecar/endings_test.go
+++ b/internal/sidecar/endings_test.go
@@ -132,10 +132,7 @@
 func TestClientLeavesBetweenAttempts(t *testing.T) {
 	for name, leave := range ways {
 		t.Run(name, func(t *testing.T) {
-			full := newStub(t, func(c net.Conn, _ received) bool {
-				_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
-				return err == nil
-			})
+			full := newStub(t, turnAway)
 			s := newStub(t, echo)
 			l := idleLoop(t, full.address)
 			_, address := entrance(t, l)
@@ -203,14 +200,10 @@
 // The word that a client has left may wait behind much else, where CPU is short. What would be sent for it meanwhile
 // is not: a first attempt, one from the queue, a further one, or one whose connection has just come up.
 func TestClientLeavesWhileTheLoopIsBehind(t *testing.T) {
-	full := func(c net.Conn, _ received) bool {
-		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
-		return err == nil
-	}
 	for name, leave := range ways {
 		for _, at := range []string{"first", "queued", "between attempts", "dialling"} {
 			t.Run(at+"/"+name, func(t *testing.T) {
-				s, turnsAway := newStub(t, echo), newStub(t, full)
+				s, turnsAway := newStub(t, echo), newStub(t, turnAway)
 				l := idleLoop(t, s.address)
 				dialling, come := heldDial(l.upstream)
 				come <- true
@@ -375,10 +368,7 @@
 	for _, lifecycle := range []string{"draining", "gone"} {
 		t.Run(lifecycle, func(t *testing.T) {
 			s := newStub(t, echo)
-			full := newStub(t, func(c net.Conn, _ received) bool {
-				_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
-				return err == nil
-			})
+			full := newStub(t, turnAway)
 			l := idleLoop(t, full.address)
 			_, address := entrance(t, l)
 			client(t, address, look("again"))
