Draw the first slow start send once the whole endpoint update has been applied

Callers of a service whose servers all started at once, or came back after an empty list, got 503 for ten seconds and more while the servers were idle (94 of 750 requests served in ten seconds, seen from outside).

Cause: UpdateEndpoints drew the first send to a started endpoint inside applyEntry. slowStartInterval then saw the ready weight and the subset weight from before the update, 0 for a first list or after an empty one, so the rate fell to minSlowStartRate and the send was drawn up to 100 s ahead.

Why it works: the draw comes after the weights and the subset are those of the new list.

--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -16,16 +16,24 @@
 )
 
 // beginSlowStart takes a list entry that tells of a start later than the one
-// known. All balancers are notified at about the same time: their first sends
-// are spread over the interval.
-func (b *Balancer) beginSlowStart(now time.Duration, e *endpoint, entry Endpoint) {
+// known.
+func (b *Balancer) beginSlowStart(e *endpoint, entry Endpoint) {
 	*e = endpoint{
 		Endpoint:        entry,
 		inFlight:        e.inFlight,
 		slowStartUntil:  max(e.slowStartUntil, entry.StartedAt+b.cfg.SlowStartDuration),
 		relativeLatency: 1,
 	}
-	e.nextSlowStartSend = now + time.Duration(b.rng.Float64()*float64(b.slowStartInterval(now, e)))
+}
+
+// drawFirstSlowStartSends spreads the first sends to endpoints in slow start
+// over an interval each: all balancers are notified at about the same time. It
+// must come after the whole update and the selection of the subset, as the
+// interval depends on the ready weights of both.
+func (b *Balancer) drawFirstSlowStartSends(now time.Duration, started []*endpoint) {
+	for _, e := range started {
+		e.nextSlowStartSend = now + time.Duration(b.rng.Float64()*float64(b.slowStartInterval(now, e)))
+	}
 }
 
 // slowStartBlocked says that an endpoint in slow start must not get another
--- a/policy/watch.go
+++ b/policy/watch.go
@@ -63,30 +63,37 @@
 	if kind != DeltaUpdate {
 		b.endpoints.markAllRemoved()
 	}
+	var started []*endpoint
 	for _, entry := range entries {
-		b.applyEntry(now, entry)
+		if e, newStart := b.applyEntry(now, entry); newStart {
+			started = append(started, e)
+		}
 	}
 	b.endpoints.update()
 	if b.fleetInFlight == 0 {
 		b.sizeBulkheads() // no quotas: the first list is all there is to go by
 	}
 	b.selectSubset()
+	b.drawFirstSlowStartSends(now, started)
 	b.serveQueues(now)
 }
 
-// applyEntry applies one entry of the endpoint list.
-func (b *Balancer) applyEntry(now time.Duration, entry Endpoint) {
+// applyEntry applies one entry of the endpoint list. newStart tells whether the
+// entry tells of a start later than the one known.
+func (b *Balancer) applyEntry(now time.Duration, entry Endpoint) (e *endpoint, newStart bool) {
 	if !(entry.Weight > 0) || math.IsInf(entry.Weight, 0) {
 		entry.Weight = 1 // no usable weights: even turns
 	}
-	e := b.endpoints.findOrAdd(entry.ID)
-	if entry.StartedAt > 0 && entry.StartedAt > e.StartedAt {
-		b.beginSlowStart(now, e, entry)
+	e = b.endpoints.findOrAdd(entry.ID)
+	newStart = entry.StartedAt > 0 && entry.StartedAt > e.StartedAt
+	if newStart {
+		b.beginSlowStart(e, entry)
 	}
 	e.Endpoint = entry
 	if e.State == Draining {
 		b.closeIdle(now, e)
 	}
+	return e, newStart
 }
 
 // poll subscribes to the endpoint list.
