Extend a subset whose endpoints are all in slow start to one that is not

With one warm server of six a sidecar served nothing for up to three seconds (seen from outside, no quota known), though the warm one stood idle.

Cause: selectSubset takes endpoints by number alone, four at little traffic. All four could be in slow start, and the subset was selected anew only when the measured rate had outgrown it.

Evidence: TestWarmEndpointServesBesideThoseInSlowStart, new, on the code before: balancers 2 and 4 of 6 served 0 or 1 request in the first 300 ms, with a known and an unknown quota; want at least 5. The other four have the warm one in their subset and passed.

Why it works: the selection goes on to the next endpoint that is not in slow start. It stops at twice the wanted size, so that the few warm servers of a large fleet are not in all subsets. The weight of the longer subset lengthens the intervals of slow start as before: TestSlowStartOverFleet passes unchanged.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -118,7 +118,7 @@
 	b.setTimer(now, activeTimerInterval)
 	b.traffic.observe(now)
 	if b.subset.outgrown(b.traffic.perSecond) {
-		b.selectSubset()
+		b.selectSubset(now)
 	}
 	late := now > r.latestStart() // does not count against admission: see placeLate
 	if !late && !b.admit(now, r) {
--- a/policy/slowstartservice_test.go
+++ b/policy/slowstartservice_test.go
@@ -190,3 +190,25 @@
 		}
 	}
 }
+
+// All endpoints of a balancer's subset had just started, and the one that had not was left idle outside of it, until
+// the traffic had been measured and the subset selected anew. It has to take requests from the first moment.
+func TestWarmEndpointServesBesideThoseInSlowStart(t *testing.T) {
+	for balancer := range 6 {
+		for name, tenants := range map[string][]Tenant{
+			"known quota":   {{Weight: 1, Quota: 20}},
+			"unknown quota": nil,
+		} {
+			t.Run(fmt.Sprintf("balancer=%d/%s", balancer, name), func(t *testing.T) {
+				cfg := coldServiceConfig()
+				cfg.Tenants, cfg.Balancers, cfg.Index = tenants, 6, balancer
+				s := newColdService(t, cfg)
+				s.update(FullUpdate, Ready, 1)
+				const first, oneAtATime = 300 * ms, int(300 * ms / serviceTime)
+				if n := s.run(first); n < oneAtATime/2 {
+					t.Errorf("%d requests served in the first %v, want at least half of %d", n, first, oneAtATime)
+				}
+			})
+		}
+	}
+}
--- a/policy/subset.go
+++ b/policy/subset.go
@@ -11,6 +11,9 @@
 	// resizeTolerance is how far the wanted size may differ from the present
 	// one, as a fraction of that, before another subset is selected.
 	resizeTolerance = 0.25
+	// maxSlowStartExtension bounds by how much a subset grows that has no
+	// endpoint but those in slow start: the few others must not be in all.
+	maxSlowStartExtension = 2
 )
 
 // subset is the endpoints that this balancer sends first attempts to. A thousand balancers of
@@ -36,25 +39,31 @@
 	return size > (1+resizeTolerance)*s.size || size < (1-resizeTolerance)*s.size
 }
 
-// selectSubset selects the subset anew.
-func (b *Balancer) selectSubset() {
+// selectSubset selects the subset anew. Where all of its endpoints are in slow
+// start they can take next to nothing, so it goes on to the next endpoint that
+// is not, up to maxSlowStartExtension.
+func (b *Balancer) selectSubset(now time.Duration) {
 	s := &b.subset
 	s.size = s.sizeFor(b.traffic.perSecond)
 	ready := b.endpoints.ready()
 	_, start := math.Modf(float64(b.cfg.Index) * math.Phi)
 	first := int(start * float64(len(ready)))
 	s.weight, s.endpoints = 0, nil
-	remaining := s.size
+	hasWarm := false
 	for i := range ready {
 		e := ready[(first+i)%len(ready)]
-		if remaining <= 0 {
+		size := s.size
+		if !hasWarm {
+			size *= maxSlowStartExtension
+		}
+		if float64(i) >= size {
 			e.inSubset = false
 			continue
 		}
 		if !e.inSubset {
-			b.joinSubset(e)
+			b.joinSubset(now, e)
 		}
-		remaining--
+		hasWarm = hasWarm || now >= e.slowStartUntil
 		s.weight += e.Weight
 		s.endpoints = append(s.endpoints, e)
 	}
@@ -62,7 +71,7 @@
 
 // joinSubset gives an endpoint its first turn at a random point of its round:
 // balancers must not begin in step.
-func (b *Balancer) joinSubset(e *endpoint) {
+func (b *Balancer) joinSubset(now time.Duration, e *endpoint) {
 	e.inSubset = true
-	e.nextTurn = b.picker.virtualTime + b.rng.Float64()*b.stride(b.traffic.at, e)
+	e.nextTurn = b.picker.virtualTime + b.rng.Float64()*b.stride(now, e)
 }
--- a/policy/watch.go
+++ b/policy/watch.go
@@ -73,7 +73,7 @@
 	if b.fleetInFlight == 0 {
 		b.sizeBulkheads() // no quotas: the first list is all there is to go by
 	}
-	b.selectSubset()
+	b.selectSubset(now)
 	b.drawFirstSlowStartSends(now, started)
 	b.serveQueues(now)
 }
