Let the bulkheads grow with the endpoint list where no quotas are known

Where no quotas are known the slots come from the number of endpoints, and they were set by the first list that was not empty. After a cached list of one server, or one that came while most servers were away, a sidecar had the slots for that one for good: 5 in place of 33 with twelve servers, and rejected what exceeded them.

Cause: UpdateEndpoints called sizeBulkheads only while fleetInFlight was 0.

Evidence: TestBulkheadsGrowWithTheList, new, fails on the code before in the cases with one endpoint (5 slots) and one beside two that drain (11) in the first list; want 33 as with all twelve in it.

Why it works: the slots follow the highest number of ready endpoints so far. They do not shrink, as endpoints that leave do not make those that stay bear less. The assumed request rate is still set by the first endpoints alone, and no longer put over one that was observed.

--- a/policy/bulkhead.go
+++ b/policy/bulkhead.go
@@ -14,7 +14,7 @@
 	// slotDeviations is how many standard deviations of the number in flight
 	// the slots exceed its mean by, so that chance alone rejects nothing.
 	slotDeviations   = 2.0
-	slotsPerEndpoint = 3.0  // slots for each endpoint first listed, where no quota is known
+	slotsPerEndpoint = 3.0  // slots for each ready endpoint of the largest list so far, where no quota is known
 	queuePerSlot     = 0.15 // queue places for each slot: just enough to keep the slots in use
 	eulerGamma       = 0.58 // the largest of n random parts is (ln n + this) times the mean
 )
@@ -97,17 +97,14 @@
 	}
 }
 
-// sizeBulkheads sets all slots, once. By Little's law a request rate keeps
-// rate x latency attempts in flight. Each balancer gets what the largest of n
-// random parts of the traffic comes to, as traffic is not spread evenly.
+// sizeBulkheads sets all slots. By Little's law a request rate keeps rate x
+// latency attempts in flight. Each balancer gets what the largest of n random
+// parts of the traffic comes to, as traffic is not spread evenly.
 func (b *Balancer) sizeBulkheads() {
-	endpoints := float64(len(b.endpoints.all))
 	n := float64(b.cfg.Balancers)
 	b.fleetInFlight = b.quota * float64(b.objective) * slotObjectiveFraction
-	b.traffic.perSecond = b.quota / n
 	if b.quota == 0 {
-		b.fleetInFlight = slotsPerEndpoint * endpoints
-		b.traffic.perSecond = endpoints / b.subset.turnInterval
+		b.fleetInFlight = slotsPerEndpoint * float64(b.endpoints.maxReady)
 	}
 	total := b.fleetInFlight * min(1, (math.Log(n)+eulerGamma)/n)
 	deviations := slotDeviations
--- a/policy/bulkhead_test.go
+++ b/policy/bulkhead_test.go
@@ -231,3 +231,30 @@
 		t.Fatalf("order %v after a request was pushed to the front, want 0 1 3 2", got)
 	}
 }
+
+// Without quotas the slots follow from the number of endpoints. They were set once, by the first list that was not
+// empty: one that was old, or came while most endpoints were away, kept them at a fraction for good.
+func TestBulkheadsGrowWithTheList(t *testing.T) {
+	cfg := testConfig()
+	cfg.Tenants, cfg.Slots = nil, 0
+	all := ready(1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12)
+	inOneList, _ := start(t, cfg, all)
+	want := inOneList.FreeSlots(0)
+	for name, firstList := range map[string][]Endpoint{
+		"empty":             nil,
+		"one of all":        all[:1],
+		"all but one drain": append(ready(1), Endpoint{ID: 2, State: Draining}, Endpoint{ID: 3, State: Draining}),
+	} {
+		t.Run(name, func(t *testing.T) {
+			b, _ := start(t, cfg, firstList)
+			b.UpdateEndpoints(time.Second, FullUpdate, all)
+			if got := b.FreeSlots(0); got != want {
+				t.Errorf("%d slots, want %d as with all endpoints in the first list", got, want)
+			}
+			b.UpdateEndpoints(2*time.Second, FullUpdate, all[:1])
+			if got := b.FreeSlots(0); got != want {
+				t.Errorf("%d slots after most endpoints left, want still %d", got, want)
+			}
+		})
+	}
+}
--- a/policy/traffic.go
+++ b/policy/traffic.go
@@ -25,6 +25,11 @@
 	return r.perSecond * math.Exp(-float64(now-r.at)/float64(requestRateHorizon))
 }
 
+// assume sets a rate that is known otherwise, unless more has been observed.
+func (r *requestRate) assume(now time.Duration, perSecond float64) {
+	*r = requestRate{max(perSecond, r.current(now)), now}
+}
+
 // meanObjective is the mean latency objective of all classes, in seconds. It
 // is the unit of several intervals, so that they fit any deployment.
 type meanObjective float64
--- a/policy/watch.go
+++ b/policy/watch.go
@@ -69,15 +69,27 @@
 			started = append(started, e)
 		}
 	}
-	b.endpoints.update()
-	if b.fleetInFlight == 0 {
-		b.sizeBulkheads() // no quotas: the first list is all there is to go by
-	}
+	b.updateSizes(now)
 	b.selectSubset(now)
 	b.drawFirstSlowStartSends(now, started)
 	b.serveQueues(now)
 }
 
+// updateSizes brings up to date what follows from the number of endpoints. Where
+// no quotas are known that is all there is to go by: the bulkheads grow with the
+// largest list so far, as the first may be empty or old.
+func (b *Balancer) updateSizes(now time.Duration) {
+	before := b.endpoints.maxReady
+	b.endpoints.update()
+	if b.quota > 0 || b.endpoints.maxReady == before {
+		return
+	}
+	b.sizeBulkheads()
+	if before == 0 {
+		b.traffic.assume(now, float64(b.endpoints.maxReady)/b.subset.turnInterval)
+	}
+}
+
 // applyEntry applies one entry of the endpoint list. newStart tells whether the
 // entry tells of a start later than the one known.
 func (b *Balancer) applyEntry(now time.Duration, entry Endpoint) (e *endpoint, newStart bool) {
