Reject an answer of discovery without instances, reset or a lifecycle

After one answer {"generation":42,"reset":true} to a watch every request got 503 for the six seconds watched, and the log had no line (seen from outside).

Cause: Parse read the absent instances as an empty list, so the answer was a complete list of no servers. The same reading was behind two other fields: an entry without lifecycle counted as draining, so a list without any took all servers away as well; an answer without reset counted as changes, so servers that a complete list no longer names stayed.

Evidence: TestAnswerWithoutListIsAFailure, new, on the code before: no failure is reported, the answer is an update. TestParseMissingField, new: seven of eight cases were read as lists.

Why it works: the answer is an error that names the field, which takes the way of every unusable answer: a line in the log, the old list stays, the full list is asked for. [] stays an empty list. A call for the full list knows that its answer is complete, so reset may be absent there, and in the cached list.

Tests: TestParseCompleteList passed {"generation":0,"reset":true} as a complete list of none, which is the fault itself; it now has the empty array, and two cases more. The list of TestEndpointUpdatesMoveServers lacked reset.

--- a/internal/endpointlist/endpointlist.go
+++ b/internal/endpointlist/endpointlist.go
@@ -29,22 +29,23 @@
 	Addresses map[policy.EndpointID]string // host and port; a removed endpoint may have none
 }
 
-// answer is the JSON form of a List.
+// answer is the JSON form of a List. All of its fields are mandatory: an answer without one may be cut off, or no
+// list at all, and whatever stood in for the field could take all endpoints away, or keep those that are gone.
 type answer struct {
 	Generation *int64  `json:"generation"` // nil: absent
-	Reset      bool    `json:"reset"`
-	Instances  []entry `json:"instances"`
+	Reset      *bool   `json:"reset"`      // nil: absent
+	Instances  []entry `json:"instances"`  // nil: absent; an empty list is a list
 }
 
 // entry is the JSON form of an endpoint.
 type entry struct {
-	InstanceID  string  `json:"instanceId"`
-	HostPort    string  `json:"hostPort"`
-	Zone        string  `json:"zone"`
-	Cell        int     `json:"cell"`
-	Lifecycle   string  `json:"lifecycle"`
-	Weight      float64 `json:"weight"`
-	StartedAtMS float64 `json:"startedAtMs"`
+	InstanceID  string  `json:"instanceId"`  // mandatory
+	HostPort    string  `json:"hostPort"`    // mandatory unless the endpoint is gone
+	Zone        string  `json:"zone"`        // absent or not configured: unknownZone
+	Cell        int     `json:"cell"`        // absent: 0
+	Lifecycle   string  `json:"lifecycle"`   // mandatory
+	Weight      float64 `json:"weight"`      // absent: no weight is known, package policy gives it an even part
+	StartedAtMS float64 `json:"startedAtMs"` // absent: long ago
 }
 
 // EndpointID returns the ID of an endpoint: a hash of its instance ID. It is the same in every sidecar and
@@ -55,19 +56,33 @@
 	return policy.EndpointID(hash.Sum64())
 }
 
-// Parse parses an answer; zones maps the names of the configured zones to their numbers. One malformed entry
-// makes the answer unusable, since a list without it could seem complete. The error is an *Error.
+// ParseComplete parses an answer that has all endpoints, whatever it says of that: one to a call for all of them.
+// Otherwise it is like Parse.
+func ParseComplete(text []byte, zones map[string]int) (List, error) {
+	return parse(text, zones, true)
+}
+
+// Parse parses an answer, which says itself whether it has all endpoints; zones maps the names of the configured
+// zones to their numbers. One malformed entry makes the answer unusable, since a list without it could seem complete.
+// The error is an *Error.
 func Parse(text []byte, zones map[string]int) (List, error) {
+	return parse(text, zones, false)
+}
+
+func parse(text []byte, zones map[string]int, complete bool) (List, error) {
 	var parsed answer
 	if err := json.Unmarshal(text, &parsed); err != nil {
 		return List{}, &Error{Entry: NoEntry, Err: err}
 	}
-	if parsed.Generation == nil {
-		return List{}, &Error{Entry: NoEntry, Field: "generation", Err: ErrMissing}
+	switch {
+	case parsed.Generation == nil:
+		return List{}, missing("generation")
+	case parsed.Instances == nil:
+		return List{}, missing("instances")
 	}
 	list := List{
 		Version:   *parsed.Generation,
-		Complete:  parsed.Reset,
+		Complete:  complete || parsed.Reset != nil && *parsed.Reset,
 		Addresses: make(map[policy.EndpointID]string),
 	}
 	for i, e := range parsed.Instances {
@@ -76,9 +91,17 @@
 			return List{}, err
 		}
 	}
+	if parsed.Reset == nil && !complete {
+		return List{}, missing("reset")
+	}
 	return list, nil
 }
 
+// missing says that a mandatory field of the answer is absent.
+func missing(field string) *Error {
+	return &Error{Entry: NoEntry, Field: field, Err: ErrMissing}
+}
+
 // add appends an endpoint.
 func (l *List) add(e entry, zones map[string]int) *Error {
 	if e.InstanceID == "" {
@@ -99,6 +122,9 @@
 	if err := l.addAddress(endpoint, e.HostPort); err != nil {
 		return err
 	}
+	if e.Lifecycle == "" {
+		return &Error{Field: "lifecycle", Err: ErrMissing}
+	}
 	l.Endpoints = append(l.Endpoints, endpoint)
 	return nil
 }
--- a/internal/endpointlist/endpointlist_test.go
+++ b/internal/endpointlist/endpointlist_test.go
@@ -35,9 +35,48 @@
 }
 
 func TestParseCompleteList(t *testing.T) {
-	list, err := Parse([]byte(`{"generation":0,"reset":true}`), nil)
-	if err != nil || !list.Complete || list.Version != 0 || len(list.Endpoints) != 0 {
-		t.Errorf("list %+v, error %v", list, err)
+	for _, test := range []struct {
+		name, text string
+		parse      func([]byte, map[string]int) (List, error)
+	}{
+		{"of none", `{"generation":0,"reset":true,"instances":[]}`, Parse},
+		{"asked for", `{"generation":0,"reset":false,"instances":[]}`, ParseComplete},
+		{"asked for, does not say so", `{"generation":0,"instances":[]}`, ParseComplete},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			list, err := test.parse([]byte(test.text), nil)
+			if err != nil || !list.Complete || list.Version != 0 || len(list.Endpoints) != 0 {
+				t.Errorf("list %+v, error %v", list, err)
+			}
+		})
+	}
+}
+
+// An answer without a list counted as a complete one of none, and every request got 503. Without a lifecycle every
+// endpoint counted as draining, and without reset a complete list as changes. All of them are unusable.
+func TestParseMissingField(t *testing.T) {
+	const usable = `{"instanceId":"s","hostPort":"127.0.0.1:80","lifecycle":"ready"}`
+	for _, test := range []struct {
+		name, text string
+		entry      int
+		field      string
+	}{
+		{"no instances", `{"generation":42,"reset":true}`, NoEntry, "instances"},
+		{"instances are null", `{"generation":42,"reset":true,"instances":null}`, NoEntry, "instances"},
+		{"no instances among changes", `{"generation":42,"reset":false}`, NoEntry, "instances"},
+		{"instances spelled otherwise", `{"generation":42,"reset":true,"hosts":[` + usable + `]}`, NoEntry, "instances"},
+		{"no reset", `{"generation":42,"instances":[` + usable + `]}`, NoEntry, "reset"},
+		{"reset is null", `{"generation":42,"reset":null,"instances":[]}`, NoEntry, "reset"},
+		{"no lifecycle", `{"generation":42,"reset":true,"instances":[` + usable + `,{"instanceId":"r","hostPort":"127.0.0.1:81"}]}`, 1, "lifecycle"},
+		{"entry is null", `{"generation":42,"reset":true,"instances":[null]}`, 0, "instanceId"},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			list, err := Parse([]byte(test.text), nil)
+			var parseError *Error
+			if !errors.As(err, &parseError) || parseError.Entry != test.entry || parseError.Field != test.field || !errors.Is(err, ErrMissing) {
+				t.Errorf("list %+v, error %v, want that %q of entry %d is missing", list, err, test.field, test.entry)
+			}
+		})
 	}
 }
 
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -107,7 +107,7 @@
 		return
 	}
 	var err error
-	if c.CachedEndpoints, err = endpointlist.Parse(file.Known, c.Zones); err != nil {
+	if c.CachedEndpoints, err = endpointlist.ParseComplete(file.Known, c.Zones); err != nil {
 		slog.Error("the cached endpoint list in the configuration file can't be used",
 			"error", &ConfigError{Field: "known", Err: err})
 	}
--- a/internal/sidecar/discovery_call.go
+++ b/internal/sidecar/discovery_call.go
@@ -60,7 +60,11 @@
 	case len(body) > maxListBytes:
 		return endpointlist.List{}, false, fmt.Errorf("%w: its body has more than %d bytes", errInvalidResponse, maxListBytes)
 	}
-	update, err = endpointlist.Parse(body, d.zones)
+	parse := endpointlist.Parse
+	if query.full() {
+		parse = endpointlist.ParseComplete
+	}
+	update, err = parse(body, d.zones)
 	if err != nil {
 		return endpointlist.List{}, reusable, fmt.Errorf("%w: %w", errInvalidResponse, err)
 	}
--- a/internal/sidecar/discovery_follow.go
+++ b/internal/sidecar/discovery_follow.go
@@ -76,7 +76,6 @@
 	if errors.Is(err, errInvalidResponse) {
 		d.version = noVersion
 	}
-	update.Complete = update.Complete || query.full()
 	return update, err
 }
 
--- a/internal/sidecar/discovery_test.go
+++ b/internal/sidecar/discovery_test.go
@@ -134,6 +134,19 @@
 	})
 }
 
+// An answer of discovery without a list took all servers away, with no line in the log. It is a failure: the servers
+// known stay, and the full list is asked for.
+func TestAnswerWithoutListIsAFailure(t *testing.T) {
+	followSteps(t, listed(0, "ready"), []discoveryStep{
+		{query: "", response: listed(41, "ready", "127.0.0.1:80"), version: 41, full: true},
+		{query: "index=41&wait=20000", response: `{"generation":42,"reset":true}`},
+		{query: "", response: `{"generation":42,"reset":true,"instances":null}`},
+		{query: "", response: listed(43, "ready", "127.0.0.1:80"), version: 43, full: true},
+		{query: "index=43&wait=20000", response: `{"generation":44,"reset":true,"instances":[{"instanceId":"s-0","hostPort":"127.0.0.1:80"}]}`},
+		{query: "", response: `{"generation":45,"reset":true,"instances":[]}`, version: 45, full: true},
+	})
+}
+
 // A fleet that restarts and asks for the full list at once would overload discovery. So each sidecar asks for the
 // changes since its cached list, also after discovery has rejected a call. After an invalid response, or changes with
 // an older version, it asks for the full list.
--- a/internal/sidecar/endpoints_test.go
+++ b/internal/sidecar/endpoints_test.go
@@ -102,7 +102,7 @@
 func TestEndpointUpdatesMoveServers(t *testing.T) {
 	l := newTestLoop(t, "127.0.0.1:81")
 	id := serverID("s-0")
-	moved, err := endpointlist.Parse([]byte(`{"generation":2,"instances":[{"instanceId":"s-0","hostPort":"127.0.0.1:82","lifecycle":"ready"}]}`), nil)
+	moved, err := endpointlist.Parse([]byte(`{"generation":2,"reset":false,"instances":[{"instanceId":"s-0","hostPort":"127.0.0.1:82","lifecycle":"ready"}]}`), nil)
 	if err != nil {
 		t.Fatal(err)
 	}
