Ask for the full list in the first call after any change of discovery's address

Cause: discoveryClient.run took an address for a new one only where reload ended the call before. A reload in the pause after a failure, while no poll had come, or before the first call (with the version of the cached list) left the version as it was; so did moves away and back between two calls.

Moves that come during a call, beside a poll, and unusable or half-written files are among the orders and in TestReloadMovesDiscovery.

Why it works: reload notes the change with the address, under one lock, and followedAddress hands both over to the next call, whatever run does meanwhile. An address that was left and came back counts as changed, as another discovery may be there.

--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -69,6 +69,7 @@
 
 	mu            sync.Mutex
 	address       string
+	moved         bool               // the address has changed since followedAddress returned it
 	stopFollowing context.CancelFunc // ends the calls at the address before; nil: run has not begun
 	idle          net.Conn           // for the next call; nil: there is none
 	idleAddress   string             // where it is connected
@@ -113,28 +114,23 @@
 }
 
 // run follows the endpoint list until ctx ends, and begins again after each failure: where lists are pushed after a
-// pause, where they are polled when the Balancer asks for it. At a new address it begins at once, with the full
-// list, as the versions of one discovery mean nothing to another.
-//
-// Known fault: that holds only for an address that changes during a call. One that changes between two calls (in the
-// pause, or while no poll has come) is noticed with the next call, which asks for changes since the old version.
+// pause, where they are polled when the Balancer asks for it. At a new address it begins at once, with the full list,
+// as the versions of one discovery mean nothing to another.
 func (d *discoveryClient) run(ctx context.Context) {
 	pause := newBackoff(min(initialBackoff, d.maxBackoff), d.maxBackoff)
-	moved := false
-	for ctx.Err() == nil {
-		if !moved && !d.awaitPoll(ctx) {
-			return
-		}
-		following, address := d.followedAddress(ctx)
-		received, err := d.follow(following, address)
-		if ctx.Err() != nil {
-			return
-		}
-		if moved = following.Err() != nil; moved {
+	following := ctx // ends when reload brings a new address
+	for d.awaitPoll(ctx, following) {
+		var address string
+		var moved bool
+		following, address, moved = d.followedAddress(ctx)
+		if moved {
 			d.version = noVersion
 			d.closeIdle()
 			pause.reset()
-			continue
+		}
+		received, err := d.follow(following, address)
+		if following.Err() != nil {
+			continue // nothing has failed at the new address
 		}
 		slog.Warn("following the endpoint list failed", "discovery", address, "error", err)
 		d.dropPoll()
@@ -145,21 +141,20 @@
 		if received {
 			pause.reset()
 		}
-		pause.wait(following) // ends early at a new address: nothing has failed there yet
+		pause.wait(following)
 	}
 }
 
-// awaitPoll waits until the list is asked for, where it is polled. It returns false once ctx has ended.
-func (d *discoveryClient) awaitPoll(ctx context.Context) bool {
-	if d.polls == nil {
-		return true
-	}
-	select {
-	case <-d.polls:
-		return true
-	case <-ctx.Done():
-		return false
+// awaitPoll waits until the list is to be called for: where it is polled, until that is asked for or following ends,
+// as a new address is called at once. It returns false once ctx has ended.
+func (d *discoveryClient) awaitPoll(ctx, following context.Context) bool {
+	if d.polls != nil {
+		select {
+		case <-d.polls:
+		case <-following.Done():
+		}
 	}
+	return ctx.Err() == nil
 }
 
 // dropPoll discards a poll that came during a call that failed: the Balancer learns of that failure instead, and
--- a/internal/sidecar/discovery_reload_test.go
+++ b/internal/sidecar/discovery_reload_test.go
@@ -102,3 +102,69 @@
 	}
 	return path
 }
+
+// The first call after any change of address must ask for the full list, whatever came between: no call yet, so that
+// the version is that of the cached list; several addresses in a row, the last one the first again; a file that can't be
+// used; no poll. On the fake clock.
+func TestFirstCallAfterReloadsAsksForTheFullList(t *testing.T) {
+	const before, between, after = "127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3"
+	unusable := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(unusable, []byte(`{"discovery":"127.0.0.1:4","settings":{`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	configFor := map[string]string{"unusable": unusable}
+	for _, address := range []string{before, between, after} {
+		configFor[address] = configFileWithDiscovery(t, address)
+	}
+	for name, c := range map[string]struct {
+		reloads     []string // addresses, or a file that can't be used
+		beforeStart bool     // the reloads come before the first call
+		want        discoveryCall
+	}{
+		"moved":                           {[]string{after}, false, discoveryCall{address: after}},
+		"moved twice":                     {[]string{between, after}, false, discoveryCall{address: after}},
+		"moved away and back":             {[]string{between, before}, false, discoveryCall{address: before}},
+		"moved, then an unusable file":    {[]string{after, "unusable"}, false, discoveryCall{address: after}},
+		"an unusable file, then moved":    {[]string{"unusable", after}, false, discoveryCall{address: after}},
+		"moved before the first call":     {[]string{after}, true, discoveryCall{address: after}},
+		"away and back before that":       {[]string{between, before}, true, discoveryCall{address: before}},
+		"the same address before that":    {[]string{before}, true, discoveryCall{address: before, query: "index=41&wait=1"}},
+		"an unusable file before that":    {[]string{"unusable"}, true, discoveryCall{address: before, query: "index=41&wait=1"}},
+		"the same address before a move":  {[]string{before, after}, false, discoveryCall{address: after}},
+		"moved, then the same once again": {[]string{after, after}, false, discoveryCall{address: after}},
+	} {
+		for mode, edit := range map[string]func(settings map[string]any){"pushed": nil, "polled": polled} {
+			t.Run(name+"/"+mode, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					discovery := &movedDiscovery{from: before, calls: make(chan discoveryCall, 100)}
+					client := newTestDiscoveryClient(t, before, listed(41, "ready", "127.0.0.1:80"), edit)
+					client.dial = discovery.dial
+					t.Cleanup(client.closeIdle)
+					client.poll() // the Balancer's first, at its start
+					if !c.beforeStart {
+						client.runUntilTestEnds(t)
+						wait(t, "the call at the old address", discovery.calls)
+						wait(t, "the failure", client.failures)
+						synctest.Wait() // the client is in the pause, or waits for a poll
+					}
+					for _, reload := range c.reloads {
+						client.reload(configFor[reload])
+					}
+					reloaded := time.Now()
+					if c.beforeStart {
+						client.runUntilTestEnds(t)
+					}
+					call := wait(t, "the call after the reloads", discovery.calls)
+					for call.address == between { // it was faster than the next reload
+						call = wait(t, "the call after the last reload", discovery.calls)
+					}
+					if call.address != c.want.address || call.query != c.want.query || !call.at.Equal(reloaded) {
+						t.Errorf("called %s with query %q after %v, want %s with %q at once",
+							call.address, call.query, call.at.Sub(reloaded), c.want.address, c.want.query)
+					}
+					synctest.Wait() // a call that was answered has put its connection where closeIdle finds it
+				})
+			})
+		}
+	}
+}
