Read the rest of a rejected request before its connection is closed

Cause: of a request that says Connection: close net/http does not read the rest of the body, nor does it half-close: body.Close skips it ("closing"), and conn.serve closes the socket at once. TestBadInput's client says so.

Excluded: the 500 ms deadline (it came later), the acceptor, the monitor (not started).

Why it works: reject flushes the response and reads the rest of the body, bounded as net/http's own reading is, so nothing is unread at the close. Where something is, or the body is too long to be read, Close ends the sending side first and closes the socket 500 ms later, or when a new client needs the descriptor.

--- a/internal/sidecar/acceptor.go
+++ b/internal/sidecar/acceptor.go
@@ -15,17 +15,19 @@
 // acceptor is a listener that limits how many connections clients hold open. Without the limit they could take the
 // descriptors that connections to servers need, and Accept would fail with "too many open files".
 //
-// At the limit the connection that has been idle for longest is closed to admit a new one; while all have a request
-// open, new ones wait. Below the limit it closes none, as each close may cross a request that its client is sending.
+// At the limit a connection that is being closed anyway, or the one that has been idle for longest, is closed to admit a
+// new one; while all have a request open, new ones wait. Below the limit it closes none, as each close may cross a request that its client is sending.
 //
 // net/http's Serve calls Accept in one goroutine; the rest is called from the goroutines of connections.
 type acceptor struct {
 	net.Listener
-	maxConns int
+	maxConns   int
+	closeDelay time.Duration // see clientConn.Close
 
 	mu        sync.Mutex // also guards the state of each clientConn
 	open      int
 	idle      list.List     // of *clientConn with no open request, longest idle first
+	closing   list.List     // of *clientConn whose sending side is closed, in the order in which they will be closed
 	allClosed chan struct{} // closed once none is open; nil: nobody waits for that
 
 	freed     chan struct{} // has an item when a connection may have closed or become idle
@@ -34,7 +36,13 @@
 }
 
 func newAcceptor(l net.Listener, maxConns int) *acceptor {
-	return &acceptor{Listener: l, maxConns: maxConns, freed: make(chan struct{}, 1), closed: make(chan struct{})}
+	return &acceptor{
+		Listener:   l,
+		maxConns:   maxConns,
+		closeDelay: closeDelay,
+		freed:      make(chan struct{}, 1),
+		closed:     make(chan struct{}),
+	}
 }
 
 // Accept waits for a client, and then until the limit admits its connection.
@@ -74,6 +82,12 @@
 	if a.open < a.maxConns {
 		return 0, true
 	}
+	if next := a.closing.Front(); next != nil {
+		c := next.Value.(*clientConn)
+		a.release(c)
+		c.Conn.Close()
+		return 0, true
+	}
 	longestIdle := a.idle.Front()
 	if longestIdle == nil {
 		return minClientIdle, false
@@ -108,9 +122,31 @@
 		a.notifyAllClosed()
 	}
 	a.markActive(c)
+	if c.closingElement != nil {
+		a.closing.Remove(c.closingElement)
+		c.closingElement = nil
+	}
 	a.notifyFreed()
 }
 
+// mustDelayClose tells whether delayClose was called for a connection.
+func (a *acceptor) mustDelayClose(c *clientConn) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return c.closeLater
+}
+
+// markClosing is called when the sending side of a connection is closed, and the rest will be.
+func (a *acceptor) markClosing(c *clientConn) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !c.closed && c.closingElement == nil {
+		a.markActive(c)
+		c.closingElement = a.closing.PushBack(c)
+		a.notifyFreed()
+	}
+}
+
 // markActive is called when a connection is not idle any more. The caller holds the lock.
 func (a *acceptor) markActive(c *clientConn) {
 	if c.idleElement != nil {
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -2,10 +2,20 @@
 
 import (
 	"container/list"
+	"context"
+	"errors"
 	"net"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
+// closeDelay is how long a client has to read its last response before a connection with unread bytes is reset.
+const closeDelay = 500 * time.Millisecond
+
+var errNoSocket = errors.New("the connection is no socket")
+
 // clientConn is one connection of a client. The acceptor's lock guards its state.
 //
 // Two readers share its socket, never at the same time:
@@ -24,6 +34,9 @@
 	idleElement *list.Element // in the acceptor's idle list; nil: a request is open, or it is closed
 	idleSince   time.Time     // since when no request is open
 	closed      bool          // released by the acceptor
+	closeLater  bool          // its last response may be unread by a client that still writes: see Close
+
+	closingElement *list.Element // in the acceptor's closing list; nil: Close has not been called, or it is closed
 
 	reading   bool           // net/http is in Read
 	pipelined bool           // net/http's latest read was of one byte, as its background read is
@@ -86,8 +99,20 @@
 	}
 }
 
-// Close closes the socket before it releases the connection: the acceptor counts descriptors in use.
+// Close closes the connection. Where that would reset it, because the client has sent what nobody reads, or still
+// sends, it closes the sending side only, and the socket after closeDelay: a reset may take the last response with it.
+// The acceptor closes it sooner where it needs the descriptor.
 func (c *clientConn) Close() error {
+	if !c.hasUnread() && !c.acceptor.mustDelayClose(c) || c.CloseWrite() != nil {
+		return c.closeNow()
+	}
+	c.acceptor.markClosing(c)
+	time.AfterFunc(c.acceptor.closeDelay, func() { _ = c.closeNow() })
+	return nil
+}
+
+// closeNow closes the socket before it releases the connection: the acceptor counts descriptors in use.
+func (c *clientConn) closeNow() error {
 	err := c.Conn.Close()
 	c.acceptor.mu.Lock()
 	defer c.acceptor.mu.Unlock()
@@ -95,6 +120,48 @@
 	return err
 }
 
+// hasUnread tells whether bytes of the client have arrived that nobody has read, and the client is still there.
+func (c *clientConn) hasUnread() bool {
+	unread := false
+	err := c.pollSocket(unix.POLLIN|unix.POLLRDHUP, func(events int16) {
+		unread = events&unix.POLLIN != 0 && !peerClosed(events)
+	})
+	return err == nil && unread
+}
+
+// pollSocket asks the kernel for the state of the socket at this moment and hands on the events that have come. It
+// returns an error where the connection is closed on this side, or is no socket.
+func (c *clientConn) pollSocket(events int16, handle func(events int16)) error {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errNoSocket
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(func(fd uintptr) {
+		fds := []unix.PollFd{{Fd: int32(fd), Events: events}}
+		if n, err := unix.Poll(fds, 0); err == nil && n > 0 {
+			handle(fds[0].Revents)
+		}
+	})
+}
+
+// peerClosed tells by events of a socket whether the other side has closed or reset it, or closed its sending side.
+func peerClosed(events int16) bool {
+	return events&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+}
+
+// delayClose has the connection of a request closed as if bytes were left unread; ctx is the request's context.
+func delayClose(ctx context.Context) {
+	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+		c.acceptor.mu.Lock()
+		defer c.acceptor.mu.Unlock()
+		c.closeLater = true
+	}
+}
+
 // CloseWrite lets net/http close its sending side first. Without it net/http would close the connection at once, and
 // where unread bytes remain the kernel sends a reset, which can overtake the response.
 func (c *clientConn) CloseWrite() error {
--- a/internal/sidecar/clientmonitor.go
+++ b/internal/sidecar/clientmonitor.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
+	"errors"
 	"net"
-	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -133,22 +133,7 @@
 		return true
 	default:
 	}
-	socket, ok := m.conn.Conn.(syscall.Conn)
-	if !ok {
-		return false // not a socket: unknown
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return true
-	}
 	closed := false
-	err = raw.Control(func(fd uintptr) { closed = peerClosed(int32(fd)) })
-	return closed || err != nil // an error: closed on this side
-}
-
-// peerClosed tells whether the other side of a socket has closed or reset it, or closed its sending side.
-func peerClosed(fd int32) bool {
-	fds := []unix.PollFd{{Fd: fd, Events: unix.POLLRDHUP}}
-	n, err := unix.Poll(fds, 0)
-	return err == nil && n > 0 && fds[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	err := m.conn.pollSocket(unix.POLLRDHUP, func(events int16) { closed = peerClosed(events) })
+	return closed || err != nil && !errors.Is(err, errNoSocket) // an error: closed on this side
 }
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -37,12 +37,14 @@
 	ready     atomic.Bool  // the answer to a readiness check
 	answerBy  atomic.Int64 // while draining: when responses must be out, in the clock's time; 0 before
 
+	rejectedBodyTimeout time.Duration // how long the rest of a rejected request is read
+
 	mu      sync.Mutex
 	openIDs map[string]bool // ids of the requests that have no response yet
 }
 
 func newIngress(cfg *Config, c clock, l *eventLoop) *ingress {
-	return &ingress{cfg: cfg, clock: c, loop: l, openIDs: make(map[string]bool)}
+	return &ingress{cfg: cfg, clock: c, loop: l, openIDs: make(map[string]bool), rejectedBodyTimeout: rejectedBodyTimeout}
 }
 
 // server returns the HTTP server for the application. Its caller starts it and shuts it down.
@@ -67,18 +69,18 @@
 	}
 	parsed, rejected := f.parseRequest(r)
 	if rejected != nil {
-		writeRejection(w, rejected)
+		f.reject(w, r, rejected)
 		return
 	}
 	id := r.Header.Get(headerRequestID)
 	if !f.reserveID(id) {
-		writeRejection(w, reject(http.StatusConflict, "a request of this X-Request-ID is open"))
+		f.reject(w, r, reject(http.StatusConflict, "a request of this X-Request-ID is open"))
 		return
 	}
 	defer f.releaseID(id)
 	body, rejected := readBody(w, r)
 	if rejected != nil {
-		writeRejection(w, rejected)
+		f.reject(w, r, rejected)
 		return
 	}
 	f.enforceLimits(w, r, parsed, body, arrived+parsed.timeout)
