Retry a keyed request only where its zone or cell is known to be the same

A keyed request could run twice: two servers whose cell the list leaves out, or whose zones the settings don't name, counted as of one cell or zone, and a retry after an attempt that may have run went from one to the other.

Cause: endpointlist read an absent cell as cell 0, and every zone that is absent or not configured as -1; mayRetryAt compared the numbers. Not seen in service.

Evidence: TestNoRetryWhereTheDedupScopeIsUnknown, new: "zone unknown" and "cell unknown" were retried before.

Why it works: what is not known equals nothing. Elsewhere the values change nothing: an unknown zone stays one that is crossed to. Golden digests are kept.

TestParse expected cell 0 for entries without one, and -1 for a zone that is not configured; it now expects the unknown cell and that zone's number.

--- a/internal/endpointlist/endpointlist.go
+++ b/internal/endpointlist/endpointlist.go
@@ -15,9 +15,6 @@
 	"cranehatch/policy"
 )
 
-// unknownZone is the zone of an endpoint whose zone is absent or not configured.
-const unknownZone = -1
-
 // maxStartedAtMS bounds the start time of an endpoint, in milliseconds, far from the overflow of a duration.
 const maxStartedAtMS = math.MaxInt64 / float64(time.Millisecond) / 2
 
@@ -41,8 +38,8 @@
 type entry struct {
 	InstanceID  string  `json:"instanceId"`  // mandatory
 	HostPort    string  `json:"hostPort"`    // mandatory unless the endpoint is gone
-	Zone        string  `json:"zone"`        // absent or not configured: unknownZone
-	Cell        int     `json:"cell"`        // absent: 0
+	Zone        string  `json:"zone"`        // absent: policy.UnknownZone; not configured: see unconfiguredZone
+	Cell        *int    `json:"cell"`        // nil, that is absent: policy.UnknownCell
 	Lifecycle   string  `json:"lifecycle"`   // mandatory
 	Weight      float64 `json:"weight"`      // absent: no weight is known, package policy gives it an even part
 	StartedAtMS float64 `json:"startedAtMs"` // absent: long ago
@@ -114,7 +111,7 @@
 	endpoint := policy.Endpoint{
 		ID:        EndpointID(e.InstanceID),
 		Zone:      e.zone(zones),
-		Cell:      e.Cell,
+		Cell:      e.cell(),
 		State:     e.state(),
 		Weight:    e.Weight,
 		StartedAt: startedAt,
@@ -146,7 +143,25 @@
 	if zone, ok := zones[e.Zone]; ok {
 		return zone
 	}
-	return unknownZone
+	if e.Zone == "" {
+		return policy.UnknownZone
+	}
+	return unconfiguredZone(e.Zone)
+}
+
+// unconfiguredZone returns the number of a zone that the settings do not name: below UnknownZone, the same for each
+// endpoint of that zone and another one for every other.
+func unconfiguredZone(name string) int {
+	hash := fnv.New32a()
+	_, _ = io.WriteString(hash, name) // a hash never returns an error
+	return policy.UnknownZone - 1 - int(hash.Sum32())
+}
+
+func (e entry) cell() int {
+	if e.Cell == nil {
+		return policy.UnknownCell
+	}
+	return *e.Cell
 }
 
 // startedAt returns the time of the last start; a negative time is 0, which means long ago.
--- a/internal/endpointlist/endpointlist_test.go
+++ b/internal/endpointlist/endpointlist_test.go
@@ -22,9 +22,9 @@
 	}
 	want := []policy.Endpoint{
 		{ID: EndpointID("s-1"), Zone: 1, Cell: 3, State: policy.Ready, Weight: 1.5, StartedAt: 1500500 * time.Microsecond},
-		{ID: EndpointID("s-2"), Zone: -1, State: policy.Draining},
-		{ID: EndpointID("s-3"), Zone: -1, State: policy.Draining},
-		{ID: EndpointID("s-4"), Zone: -1, State: policy.Removed},
+		{ID: EndpointID("s-2"), Zone: unconfiguredZone("not configured"), Cell: -1, State: policy.Draining},
+		{ID: EndpointID("s-3"), Zone: -1, Cell: -1, State: policy.Draining},
+		{ID: EndpointID("s-4"), Zone: -1, Cell: -1, State: policy.Removed},
 	}
 	if !slices.Equal(list.Endpoints, want) {
 		t.Errorf("endpoints %+v, want %+v", list.Endpoints, want)
@@ -80,6 +80,14 @@
 	}
 }
 
+// Zones that the settings do not name are told apart, from each other and from an unknown one.
+func TestUnconfiguredZones(t *testing.T) {
+	north, south := unconfiguredZone("north"), unconfiguredZone("south")
+	if north == south || north >= policy.UnknownZone || south >= policy.UnknownZone || north != unconfiguredZone("north") {
+		t.Errorf("zones %d and %d, want two different ones below %d", north, south, policy.UnknownZone)
+	}
+}
+
 // The ID of an endpoint must not change, as it decides which sidecars send to it.
 func TestEndpointID(t *testing.T) {
 	if got, want := EndpointID("s-1"), policy.EndpointID(0x817cda195c3fbf24); got != want {
--- a/policy/endpoint.go
+++ b/policy/endpoint.go
@@ -19,11 +19,18 @@
 	Ready
 )
 
+// The zone and the cell of an endpoint that the list gives none for. Nothing
+// says that two such endpoints share a zone, or a cell.
+const (
+	UnknownZone = -1
+	UnknownCell = -1
+)
+
 // Endpoint is one entry of the endpoint list.
 type Endpoint struct {
 	ID        EndpointID
-	Zone      int
-	Cell      int // endpoints of one cell share the idempotency keys that they have seen
+	Zone      int // or UnknownZone
+	Cell      int // or UnknownCell; endpoints of one cell share the idempotency keys that they have seen
 	State     EndpointState
 	Weight    float64       // nominal size, relative to the other endpoints' weights
 	StartedAt time.Duration // time of its last start; 0: long ago
--- a/policy/retry.go
+++ b/policy/retry.go
@@ -74,8 +74,10 @@
 	if first == nil || r.class.Idempotency == Idempotent || r.class.DedupScope == DedupEverywhere {
 		return true
 	}
-	sameZone := e.Zone == first.zone
-	return sameZone && (r.class.DedupScope == DedupInZone || e.Cell == first.cell)
+	if r.class.DedupScope == DedupInZone {
+		return e.Zone == first.zone && e.Zone != UnknownZone
+	}
+	return e.Zone == first.zone && e.Cell == first.cell && e.Cell != UnknownCell
 }
 
 // dedupRemaining returns for how much longer the latest attempt would be
--- a/policy/retry_test.go
+++ b/policy/retry_test.go
@@ -299,3 +299,34 @@
 		t.Fatalf("%d requests and %d retries within the interval, want 1 and 1", len(b.requests), len(b.retries))
 	}
 }
+
+// Two endpoints without a known zone, or cell, counted as of one: a retry went to an endpoint that had not seen the
+// idempotency key, and the request ran a second time.
+func TestNoRetryWhereTheDedupScopeIsUnknown(t *testing.T) {
+	for _, c := range []struct {
+		name       string
+		class      int
+		zone, cell int
+		retried    bool
+	}{
+		{"zone known", dedupInZoneClass, 0, UnknownCell, true},
+		{"zone unknown", dedupInZoneClass, UnknownZone, 3, false},
+		{"cell known", dedupInCellClass, 0, 3, true},
+		{"cell known, zone not", dedupInCellClass, UnknownZone, 3, true},
+		{"cell unknown", dedupInCellClass, 0, UnknownCell, false},
+		{"everywhere", dedupEverywhereClass, UnknownZone, UnknownCell, true},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			list := ready(1, 2, 3)
+			for i := range list {
+				list[i].Zone, list[i].Cell = c.zone, c.cell
+			}
+			b, h := start(t, testConfig(), list)
+			submit(b, 0, 1, c.class)
+			finish(b, 30*ms, 1, 0, ConnectionLost)
+			if retried := len(h.sends) == 2; retried != c.retried {
+				t.Errorf("retried: %v, want %v", retried, c.retried)
+			}
+		})
+	}
+}
