Serve requests behind a retry of a lower priority that no endpoint can take

Requests of a high priority waited behind a retry at the front of their queue until they were rejected, though slots and endpoints were free.

Cause: serveQueue returned the front's priority as the queue's highest, and at that priority skipped all higher ones as if they had had their turn. A retry stands at the front whatever its priority, so behind one of a low priority that could go nowhere (each endpoint that its class allows attempted) they never had one.

Evidence: TestRetryThatCannotGoHoldsNothingBack, new, fails on the code before with three endpoints, in cells of their own, and with one.

Why it works: a queue's turn comes at the highest priority in it, and the retries before the first request of that priority are tried with it, so they still go first (TestRetryGoesFirstInItsQueue, green before and after).

--- a/policy/bulkhead.go
+++ b/policy/bulkhead.go
@@ -69,6 +69,18 @@
 // its priority and also beyond the queue's capacity.
 func (h *bulkhead) pushFront(r *request) { h.queue = slices.Insert(h.queue, 0, r) }
 
+// maxPriority returns the highest priority weight in the queue, or noPriority.
+func (h *bulkhead) maxPriority() float64 {
+	highest := noPriority
+	for _, r := range h.queue {
+		highest = max(highest, r.class.PriorityWeight)
+		if len(r.attempts) == 0 {
+			break // those behind the retries are in order
+		}
+	}
+	return highest
+}
+
 // removeQueued takes a request out of the queue, if it is there.
 func (h *bulkhead) removeQueued(r *request) {
 	if i := slices.Index(h.queue, r); i >= 0 {
@@ -143,19 +155,26 @@
 }
 
 // serveQueue sends what it can of the requests of one priority in a queue, and
-// returns the next lower priority there, or noPriority.
+// returns the next lower priority there, or noPriority. Retries of a lower
+// priority go with the first requests behind them; one that no endpoint can
+// take holds back none of those.
 func (b *Balancer) serveQueue(now time.Duration, h *bulkhead, priority float64) float64 {
+	if highest := h.maxPriority(); highest < priority {
+		return highest
+	}
 	for n := 0; n < len(h.queue) && !h.full(); {
-		switch r := h.queue[n]; {
+		r := h.queue[n]
+		isRetry := len(r.attempts) > 0
+		switch {
 		case r.class.PriorityWeight > priority:
-			n++ // had its turn at its own priority, or stands behind a retry of a lower one
-		case r.class.PriorityWeight < priority:
+			n++ // had its turn at its own priority
+		case r.class.PriorityWeight < priority && !isRetry:
 			return r.class.PriorityWeight
 		case now >= r.latestStart():
 			b.giveUp(now, r) // which takes it out of the queue
 		case b.dispatch(now, r):
 			h.queue = slices.Delete(h.queue, n, n+1)
-		case len(r.attempts) == 0 && r.firstOfKey(now):
+		case !isRetry && r.firstOfKey(now):
 			return noPriority // it could go to any endpoint, so nothing behind it can go
 		default:
 			n++ // bound to some endpoints, or behind its key: others may go
--- a/policy/bulkhead_test.go
+++ b/policy/bulkhead_test.go
@@ -258,3 +258,57 @@
 		})
 	}
 }
+
+// A retry stands at the front of its queue, and no endpoint can take it: it has been to all that its class allows.
+// Requests of a higher priority behind it waited as long as it did, though slots and endpoints were free.
+func TestRetryThatCannotGoHoldsNothingBack(t *testing.T) {
+	const low, high = 0, 1
+	for _, c := range []struct {
+		name      string
+		retry     Class
+		endpoints []Endpoint
+	}{
+		{"no other endpoint in its cell", Class{Idempotency: IdempotentByKey, DedupScope: DedupInCell, DedupWindow: time.Second}, ready(1, 2, 3)},
+		{"no other endpoint", Class{Idempotency: Idempotent}, ready(1)},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			cfg := testConfig()
+			cfg.Tenants = []Tenant{{Weight: 1, Quota: 100}}
+			cfg.Classes = []Class{low: c.retry, high: {Idempotency: Idempotent}}
+			for i := range cfg.Classes {
+				cfg.Classes[i].LatencyObjective, cfg.Classes[i].Deadline = time.Second, 3*time.Second
+			}
+			cfg.Classes[low].PriorityWeight, cfg.Classes[high].PriorityWeight = 1, 8
+			for i := range c.endpoints {
+				c.endpoints[i].Cell = i // each of its own
+			}
+			b, h := start(t, cfg, c.endpoints)
+			b.bulkheads.all[0].slots = 1
+			submit(b, 0, 1, low)
+			submit(b, 0, 2, high) // waits for the slot
+			finish(b, 10*ms, 1, 0, ConnectionLost)
+			b.TimerFired(20 * ms)
+			if last := h.sends[len(h.sends)-1]; last.id != 2 {
+				t.Errorf("request 2 waits behind the retry of request 1, with a free slot; sends %v", h.sends)
+			}
+		})
+	}
+}
+
+// A retry that an endpoint can take goes before requests of a higher priority in its queue.
+func TestRetryGoesFirstInItsQueue(t *testing.T) {
+	cfg := testConfig()
+	cfg.Classes = cfg.Classes[:2]
+	cfg.Classes[1].PriorityWeight = 8
+	b, h := start(t, cfg, ready(1, 2, 3, 4))
+	b.bulkheads.all[0].slots = 1
+	submit(b, 0, 1, 0)
+	submit(b, 0, 2, 1) // waits for the slot
+	b.endpoints.find(1).State, b.endpoints.find(2).State = Draining, Draining
+	b.endpoints.find(3).State, b.endpoints.find(4).State = Draining, Draining
+	finish(b, 10*ms, 1, 0, ServerError) // no endpoint can take the retry: it waits at the front
+	b.UpdateEndpoints(20*ms, FullUpdate, ready(1, 2, 3, 4))
+	if second := h.sends[1]; second.id != 1 {
+		t.Errorf("sends %v, want the retry of request 1 second", h.sends)
+	}
+}
