Ignore load reports that have been found stale

Cause: fullByReport went by any report younger than reportMaxAge, whatever the sampler had found out about reports.

Evidence: TestStaleReportDoesNotMakeAnEndpointFull, new: reports that never change say 1000 in flight; once they are found stale the only endpoint is not sent to on the code before.

Why it works: reports found stale are not asked. While they are still being compared nothing changes.

--- a/policy/loadreport.go
+++ b/policy/loadreport.go
@@ -63,6 +63,9 @@
 // fresh says that reports may steer requests.
 func (s *reportSampler) fresh() bool { return s.changes >= changesNeeded }
 
+// stale says that reports have turned out not to follow the load.
+func (s *reportSampler) stale() bool { return s.done() && !s.fresh() }
+
 // compared counts a comparison. It returns true if reports turn out fresh by it.
 func (s *reportSampler) compared(changed bool) bool {
 	s.comparisons++
@@ -166,6 +169,9 @@
 // requests or more, also in a report too old to send by; or that it has not
 // reported, and the request has waited for as many reports as it may.
 func (b *Balancer) fullByReport(now time.Duration, r *request, e *endpoint) bool {
+	if b.sampler.stale() {
+		return false
+	}
 	if e.reportedAt == 0 || now-e.reportedAt >= reportMaxAge {
 		return r.healthChecks >= maxHealthChecks
 	}
--- a/policy/loadreport_test.go
+++ b/policy/loadreport_test.go
@@ -232,3 +232,25 @@
 		}
 	})
 }
+
+// Reports that turn out not to follow the load must not say any more that an endpoint is full: it was passed over for
+// as long as the last of them was taken for a current one.
+func TestStaleReportDoesNotMakeAnEndpointFull(t *testing.T) {
+	cfg := testConfig()
+	cfg.CanHealthCheck, cfg.ReportFields = true, HasInFlight
+	b, h := start(t, cfg, ready(1))
+	now := time.Duration(0)
+	for seen := 0; !b.sampler.done() && now < 10*time.Second; now += 10 * ms {
+		b.TimerFired(now)
+		for ; seen < len(h.healthChecks); seen++ { // each time the same
+			b.HealthChecked(now, h.healthChecks[seen], true, LoadReport{Fields: cfg.ReportFields, InFlight: 1000})
+		}
+	}
+	if !b.sampler.done() || b.sampler.fresh() {
+		t.Fatalf("reports compared: %v, fresh: %v; want true and false", b.sampler.done(), b.sampler.fresh())
+	}
+	submit(b, now, 1, idempotentClass)
+	if len(h.sends) != 1 {
+		t.Error("the only endpoint is passed over as full, by a report found stale")
+	}
+}
