Reject paths and Connection headers that servers may read as another request

Cause: endToEnd drops what Connection names, whichever header that is, after parseRequest has gone by it. parseClass compared the class with the decoded path, while the path goes on as it came: a server that takes it apart before it decodes sees another first part, one that resolves dot segments another class.

So a request whose Connection names a header that decides how it is handled gets 400, as one that gives such a header twice; so does one whose first segment, as it came, is not the class, or which has dot segments, encoded or not. An encoded slash further on is allowed.

Evidence: TestConnectionNamesNoHeaderForServers and TestPathOfAnotherClass..., new; on the code before the first fails in all ten cases of such a header, the second in all with dot segments or an encoded slash behind the class.

--- a/internal/sidecar/headers.go
+++ b/internal/sidecar/headers.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"iter"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -53,6 +54,20 @@
 	headerContentLength, headerServerLoad,
 }
 
+// connectionOptions are what the Connection headers list: close, keep-alive, and the names of headers of this
+// connection alone.
+func connectionOptions(h http.Header) iter.Seq[string] {
+	return func(yield func(string) bool) {
+		for _, list := range h[headerConnection] {
+			for option := range strings.SplitSeq(list, ",") {
+				if !yield(textproto.TrimString(option)) {
+					return
+				}
+			}
+		}
+	}
+}
+
 // endToEnd returns a copy of a message's header without the headers of one connection: the hop-by-hop ones
 // and those that Connection names.
 func endToEnd(from http.Header) http.Header {
@@ -60,10 +75,8 @@
 	for name, values := range from {
 		to[name] = values
 	}
-	for _, list := range from[headerConnection] {
-		for name := range strings.SplitSeq(list, ",") {
-			to.Del(textproto.TrimString(name))
-		}
+	for name := range connectionOptions(from) {
+		to.Del(name)
 	}
 	for _, name := range hopByHopHeaders {
 		delete(to, name)
--- a/internal/sidecar/parse.go
+++ b/internal/sidecar/parse.go
@@ -5,6 +5,8 @@
 	"hash/fnv"
 	"io"
 	"net/http"
+	"net/url"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -50,6 +52,9 @@
 	if rejected = checkIdentity(r.Header); rejected != nil {
 		return parsed, rejected
 	}
+	if rejected = checkConnection(r.Header); rejected != nil {
+		return parsed, rejected
+	}
 	if parsed.policy.Class, rejected = f.parseClass(r); rejected != nil {
 		return parsed, rejected
 	}
@@ -106,6 +111,18 @@
 	return nil
 }
 
+// checkConnection rejects requests that name a header which decides how they are handled as one of the connection.
+// Such headers are dropped on the way: the server would get the request without its id, or without its idempotency
+// key, and could run it twice.
+func checkConnection(h http.Header) *rejectionError {
+	for name := range connectionOptions(h) {
+		if slices.Contains(singleValueHeaders, http.CanonicalHeaderKey(name)) {
+			return reject(http.StatusBadRequest, "Connection names "+name+", which is for servers")
+		}
+	}
+	return nil
+}
+
 // parseClass returns the number of the request's class, which the header names and the path begins with.
 func (f *ingress) parseClass(r *http.Request) (int, *rejectionError) {
 	name := r.Header.Get(headerPriorityClass)
@@ -113,12 +130,29 @@
 	if !ok {
 		return 0, reject(http.StatusBadRequest, "X-Priority-Class names no class")
 	}
-	if first, _, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/"), "/"); first != name {
-		return 0, reject(http.StatusBadRequest, "the path is of another class than X-Priority-Class")
+	if rejected := checkPath(r, name); rejected != nil {
+		return 0, rejected
 	}
 	return class, nil
 }
 
+// checkPath rejects a path whose first segment does not name the class, or may not for a server: the path is
+// forwarded as it is. An encoded slash ends no segment here, but may for a server that decodes the path first;
+// dot segments may be resolved to the path of another class.
+func checkPath(r *http.Request, class string) *rejectionError {
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	first, _, _ := strings.Cut(strings.TrimPrefix(path, "/"), "/")
+	if name, err := url.PathUnescape(first); err != nil || name != class {
+		return reject(http.StatusBadRequest, "the path is of another class than X-Priority-Class")
+	}
+	for segment := range strings.SplitSeq(r.URL.Path, "/") {
+		if segment == "." || segment == ".." {
+			return reject(http.StatusBadRequest, "the path has dot segments")
+		}
+	}
+	return nil
+}
+
 // methodFor is the method that requests of each idempotency must have.
 var methodFor = map[policy.Idempotency]string{
 	policy.Idempotent:      http.MethodGet,
--- a/internal/sidecar/parse_test.go
+++ b/internal/sidecar/parse_test.go
@@ -101,6 +101,60 @@
 	}
 }
 
+// parseTestRequest parses a valid GET of the class look with another target or other headers (names and values).
+func parseTestRequest(t *testing.T, target string, headers ...string) *rejectionError {
+	t.Helper()
+	f := newIngress(testConfig(t, listed(1, "ready"), nil), newClock(), nil)
+	r := httptest.NewRequest(http.MethodGet, target, nil)
+	for _, header := range []string{"X-Request-ID: r1", "X-Priority-Class: look", "X-Tenant-Id: south", "X-Timeout: 480m"} {
+		name, value, _ := strings.Cut(header, ": ")
+		r.Header.Set(name, value)
+	}
+	for i := 0; i < len(headers); i += 2 {
+		r.Header.Add(headers[i], headers[i+1])
+	}
+	_, rejected := f.parseRequest(r)
+	return rejected
+}
+
+// A path is forwarded as it is, and a server may read another class in it than the sidecar: it may decode an encoded
+// slash before it takes the path apart, and it may resolve dot segments.
+func TestPathOfAnotherClassIsRejected(t *testing.T) {
+	for target, valid := range map[string]bool{
+		"/look": true, "/look/": true, "/look/hive": true, "/look/a.b": true, "/look/...": true, "/look?x=../..": true,
+		"/look/a%2fb": true, "/l%6fok/hive": true, "/look/%25": true,
+		"/look%2fhive": false, "/look%2Fhive": false, "/look%2f..%2fentry": false,
+		"/look/../entry": false, "/look/..": false, "/look/./hive": false, "/look/hive/../../entry/x": false,
+		"/look/%2e%2e/entry": false, "/look/.%2E/entry": false, "/look/a%2f..%2f..%2fentry": false,
+		"/../look": false, "//look": false, "/look%00": false, "/entry/../look": false,
+	} {
+		t.Run(target, func(t *testing.T) {
+			if rejected := parseTestRequest(t, target); valid != (rejected == nil) {
+				t.Errorf("rejected: %v, want it valid: %v", rejected, valid)
+			}
+		})
+	}
+}
+
+// What Connection names is dropped on the way to a server. A request arrived there without its id, or a keyed one
+// without its key.
+func TestConnectionNamesNoHeaderForServers(t *testing.T) {
+	for connection, valid := range map[string]bool{
+		"close": true, "keep-alive": true, "keep-alive, X-Own": true, "": true, "Upgrade": true,
+		"X-Request-ID": false, "x-request-id": false, "keep-alive, X-Request-Id": false, "close , Idempotency-Key": false,
+		"X-Timeout": false, "X-Priority-Class": false, "X-Tenant-Id": false, "Content-Length": false, "X-Route-Key": false, "X-Attrs": false,
+	} {
+		t.Run(connection, func(t *testing.T) {
+			if rejected := parseTestRequest(t, "/look", "Connection", connection); valid != (rejected == nil) {
+				t.Errorf("rejected: %v, want it valid: %v", rejected, valid)
+			}
+			if rejected := parseTestRequest(t, "/look", "Connection", "keep-alive", "Connection", connection); valid != (rejected == nil) {
+				t.Errorf("second Connection header, rejected: %v, want it valid: %v", rejected, valid)
+			}
+		})
+	}
+}
+
 func TestParseTimeout(t *testing.T) {
 	for text, want := range map[string]time.Duration{
 		"480m":                  480 * time.Millisecond,
