Answer pipelined requests before a draining connection closes

A client that had sent several requests on a connection at SIGTERM got the first response with Connection: close, and none for what had been read behind it.

Cause: closeIfDraining set the header whatever had come behind the request. That lay in net/http's buffer, where nothing can see it, or in the monitor's.

Why it works: clientConn hands net/http the bytes of one request at a time (requestBoundary) and keeps the rest, so that it is known whether something has come behind a request; with that, or with bytes unread in the socket, the connection stays open until the last response. A boundary that is found in the wrong place only delays bytes to the next read. The limit on what is buffered for a client grows by what net/http's buffer held.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"bytes"
 	"container/list"
 	"context"
 	"errors"
+	"math"
 	"net"
 	"syscall"
 	"time"
@@ -24,7 +26,7 @@
 //     client's disconnect. If that byte comes instead, the client has sent more behind the open request (pipelining):
 //     net/http stores the byte and does not read again until the handler has returned.
 //   - From that byte on the clientMonitor reads, until the handler stops it. What it has read is in buffered, from
-//     where net/http's next reads are served first.
+//     where net/http's next reads are served first. So is what came behind a request in one read of the socket.
 //
 // The hand-over to the monitor is guarded by pipelined and reading (see monitorMayRead), the hand-over back by the
 // monitor's end: Read waits for it.
@@ -41,7 +43,8 @@
 	reading   bool           // net/http is in Read
 	pipelined bool           // net/http's latest read was of one byte, as its background read is
 	monitor   *clientMonitor // of the open request; nil: no handler waits for a response
-	buffered  []byte         // read by the monitor, not yet by net/http. Owned by whichever of the two reads
+	buffered  []byte         // read from the socket, not yet by net/http. Owned by whichever of the two reads
+	boundary  requestBoundary
 }
 
 // Read is for net/http alone.
@@ -63,12 +66,35 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
+	if taken := c.boundary.take(p[:n]); taken < n {
+		c.buffered = append(bytes.Clone(p[taken:n]), c.buffered...)
+		n = taken
+	}
 	c.acceptor.markActive(c)
 	c.pipelined = len(p) == 1
 	c.notifyMonitor()
 	return n, err
 }
 
+// expectBody is called with the length of a request's body, before that is read; below 0 it is not known.
+func (c *clientConn) expectBody(length int64) {
+	c.acceptor.mu.Lock()
+	defer c.acceptor.mu.Unlock()
+	if length < 0 {
+		length = math.MaxInt64 // such requests are rejected, and the connection closed
+	}
+	c.boundary.expectBody(length)
+}
+
+// hasNextRequest tells whether bytes of the client have arrived behind the present request. It must not be called
+// while a monitor reads.
+func (c *clientConn) hasNextRequest() bool {
+	c.acceptor.mu.Lock()
+	begun := c.pipelined || len(c.buffered) > 0
+	c.acceptor.mu.Unlock()
+	return begun || c.hasUnread()
+}
+
 // beginRead makes net/http the reader, after the end of a monitor that reads, and serves what that has buffered. It
 // returns how many bytes that were.
 func (c *clientConn) beginRead(p []byte) int {
@@ -155,7 +181,7 @@
 
 // delayClose has the connection of a request closed as if bytes were left unread; ctx is the request's context.
 func delayClose(ctx context.Context) {
-	if c, ok := ctx.Value(connKey{}).(*clientConn); ok {
+	if c := clientConnOf(ctx); c != nil {
 		c.acceptor.mu.Lock()
 		defer c.acceptor.mu.Unlock()
 		c.closeLater = true
--- a/internal/sidecar/clientmonitor.go
+++ b/internal/sidecar/clientmonitor.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// maxBufferedBytes limits what a monitor buffers. A client that sends more behind an open request is disconnected:
+	// maxBufferedBytes limits what is buffered for a client. One that sends more behind an open request is disconnected:
 	// it would take memory, and with its bytes unread its own disconnect could not be noticed.
-	maxBufferedBytes = maxHeaderBytes
+	maxBufferedBytes = maxHeaderBytes + monitorReadBytes
 
 	monitorReadBytes = 4 << 10 // read at once
 )
@@ -44,9 +44,15 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// clientConnOf returns the connection of a request by its context, nil in tests that have none.
+func clientConnOf(ctx context.Context) *clientConn {
+	c, _ := ctx.Value(connKey{}).(*clientConn)
+	return c
+}
+
 // monitorClient starts a monitor for the client of a request whose body has been read; ctx is the request's context.
 func monitorClient(ctx context.Context) *clientMonitor {
-	c, _ := ctx.Value(connKey{}).(*clientConn)
+	c := clientConnOf(ctx)
 	m := &clientMonitor{
 		conn:    c,
 		gone:    make(chan struct{}),
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -63,8 +63,11 @@
 func (f *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	// The client's timeout runs from when it sent the request, so the arrival is taken before the body is read.
 	arrived := f.clock.now()
+	if c := clientConnOf(r.Context()); c != nil {
+		c.expectBody(r.ContentLength)
+	}
 	if isReadinessCheck(r) {
-		f.writeReadiness(w)
+		f.writeReadiness(w, r)
 		return
 	}
 	parsed, rejected := f.parseRequest(r)
@@ -92,8 +95,8 @@
 }
 
 // writeReadiness answers 200 while the sidecar serves, and 503 before that and while it drains.
-func (f *ingress) writeReadiness(w http.ResponseWriter) {
-	f.closeIfDraining(w)
+func (f *ingress) writeReadiness(w http.ResponseWriter, r *http.Request) {
+	f.closeIfDraining(w, r)
 	if !f.ready.Load() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
@@ -111,7 +114,7 @@
 	defer f.bodyBytes.Add(-size)
 	deadline = f.capDeadline(deadline)
 	if f.overLimit(inFlight, bodyBytes) || deadline <= f.clock.now() {
-		f.closeIfDraining(w)
+		f.closeIfDraining(w, r)
 		writeUnavailable(w, f.drawRetryAfter())
 		return
 	}
@@ -121,6 +124,16 @@
 // forward hands a request to the event loop and writes the final response, or none if the client has gone
 // before it is there.
 func (f *ingress) forward(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body []byte, deadline time.Duration) {
+	final := f.awaitResponse(r, parsed, body, deadline)
+	if final == nil {
+		panic(http.ErrAbortHandler) // how a handler has net/http close the connection without a response
+	}
+	f.closeIfDraining(w, r)
+	final.write(w)
+}
+
+// awaitResponse hands a request to the event loop and returns its response, or nil if the client has gone before.
+func (f *ingress) awaitResponse(r *http.Request, parsed parsedRequest, body []byte, deadline time.Duration) *response {
 	client := monitorClient(r.Context())
 	defer client.stop()
 	outbound := newOutboundRequest(r, body, client.clientClosed)
@@ -128,14 +141,12 @@
 	number := f.loop.submit(parsed.policy, outbound, deadline, reply)
 	select {
 	case final := <-reply:
-		f.closeIfDraining(w)
-		final.write(w)
-		return
+		return &final
 	case <-r.Context().Done(): // net/http has seen the client close its connection
 	case <-client.gone: // the monitor has, behind further bytes, where net/http does not look
 	}
 	f.loop.clientGone(number)
-	panic(http.ErrAbortHandler) // how a handler has net/http close the connection without a response
+	return nil
 }
 
 // capDeadline returns the deadline of a request, earlier if the process may be killed before it: a
@@ -160,11 +171,17 @@
 	return min(time.Duration(float64(time.Second)*seconds), f.cfg.Policy.MaxRetryAfter)
 }
 
-// closeIfDraining has a connection close after the response that is about to be written, while draining.
-func (f *ingress) closeIfDraining(w http.ResponseWriter) {
-	if f.answerBy.Load() != 0 {
-		w.Header().Set(headerConnection, "close")
+// closeIfDraining has a connection close after the response that is about to be written, while draining. Where the
+// client has sent more behind that request, the connection closes after the last response instead: what has been read
+// of it would be lost.
+func (f *ingress) closeIfDraining(w http.ResponseWriter, r *http.Request) {
+	if f.answerBy.Load() == 0 {
+		return
+	}
+	if c := clientConnOf(r.Context()); c != nil && c.hasNextRequest() {
+		return
 	}
+	w.Header().Set(headerConnection, "close")
 }
 
 // reserveID enters a request's id, or returns false if a request with this id is in flight: servers would
--- /dev/null
+++ b/internal/sidecar/requestboundary_test.go
@@ -0,0 +1,60 @@
+package sidecar
+
+import (
+	"slices"
+	"strings"
+	"testing"
+)
+
+func TestRequestBoundary(t *testing.T) {
+	const head, bare = "GET / HTTP/1.1\r\nHost: x\r\n\r\n", "GET / HTTP/1.1\nHost: x\n\n"
+	for name, c := range map[string]struct {
+		text string
+		body int64 // behind the first head
+		want []string
+	}{
+		"one request":           {head, 0, []string{head}},
+		"two requests":          {head + head, 0, []string{head, head}},
+		"line feeds alone":      {bare + head + bare, 0, []string{bare, head, bare}},
+		"a body":                {head + "12345", 5, []string{head, "12345"}},
+		"a body and a request":  {head + "1\n\n45" + head, 5, []string{head, "1\n\n45", head}},
+		"half a body":           {head + "12", 5, []string{head, "12"}},
+		"half a request":        {head + head[:20], 0, []string{head, head[:20]}},
+		"no request":            {"noise\r\nnoise", 0, []string{"noise\r\nnoise"}},
+		"empty lines before it": {"\r\n\r\n" + head, 0, []string{"\r\n\r\n", head}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for chunk := 1; chunk <= len(c.text); chunk++ {
+				if got := takeRequests(c.text, chunk, c.body); !slices.Equal(got, c.want) {
+					t.Fatalf("read %d bytes at a time: %q, want %q", chunk, got, c.want)
+				}
+			}
+		})
+	}
+}
+
+// takeRequests passes a text in chunks, and returns it divided where a boundary was found, and the rest.
+func takeRequests(text string, chunk int, body int64) (parts []string) {
+	var b requestBoundary
+	var part strings.Builder
+	for len(text) > 0 {
+		held := b.bodyRemaining
+		n := b.take([]byte(text[:min(chunk, len(text))]))
+		part.WriteString(text[:n])
+		endsLine := text[n-1] == '\n'
+		text = text[n:]
+		headEnded := held == 0 && endsLine && b.lineLength == 0 && !b.inHead
+		bodyEnded := held > 0 && b.bodyRemaining == 0
+		if headEnded && len(parts) == 0 {
+			b.expectBody(body)
+		}
+		if headEnded || bodyEnded {
+			parts = append(parts, part.String())
+			part.Reset()
+		}
+	}
+	if part.Len() > 0 {
+		parts = append(parts, part.String())
+	}
+	return parts
+}
