Count the time of a pipelined request from its arrival

Of a request that waited behind another one on its connection a server was told more time than the client had left, and it was sent on when its time was over.

Cause: ServeHTTP takes the arrival when a request's turn comes. The bytes may have been read long before, and waited in the connection's buffer.

TestTimeOfPipelinedRequest..., new: before, the request whose time was over was forwarded and answered 200.

Why it works: clientConn notes when the bytes it hands over were read from the socket, and the time runs from then. Requests that did not wait are read at their turn, so for them nothing changes.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -45,6 +45,9 @@
 	monitor   *clientMonitor // of the open request; nil: no handler waits for a response
 	buffered  []byte         // read from the socket, not yet by net/http. Owned by whichever of the two reads
 	boundary  requestBoundary
+
+	bufferedAt time.Time // when the latest of buffered was read from the socket
+	arrivedAt  time.Time // the same of what net/http has read last
 }
 
 // Read is for net/http alone.
@@ -54,12 +57,16 @@
 func (c *clientConn) Read(p []byte) (int, error) {
 	n := c.beginRead(p)
 	var err error
-	if n == 0 {
+	fromSocket := n == 0
+	if fromSocket {
 		n, err = c.Conn.Read(p)
 	}
 	c.acceptor.mu.Lock()
 	defer c.acceptor.mu.Unlock()
 	c.reading = false
+	if fromSocket {
+		c.bufferedAt = time.Now()
+	}
 	if n == 0 {
 		return n, err
 	}
@@ -71,11 +78,20 @@
 		n = taken
 	}
 	c.acceptor.markActive(c)
+	c.arrivedAt = c.bufferedAt
 	c.pipelined = len(p) == 1
 	c.notifyMonitor()
 	return n, err
 }
 
+// requestArrived returns when the bytes that net/http has read last had come: for a request that was sent behind
+// another, some time before its turn.
+func (c *clientConn) requestArrived() time.Time {
+	c.acceptor.mu.Lock()
+	defer c.acceptor.mu.Unlock()
+	return c.arrivedAt
+}
+
 // expectBody is called with the length of a request's body, before that is read; below 0 it is not known.
 func (c *clientConn) expectBody(length int64) {
 	c.acceptor.mu.Lock()
--- a/internal/sidecar/clientmonitor.go
+++ b/internal/sidecar/clientmonitor.go
@@ -94,6 +94,9 @@
 	for {
 		n, err := m.conn.Conn.Read(buf)
 		m.conn.buffered = append(m.conn.buffered, buf[:n]...)
+		if n > 0 {
+			m.conn.bufferedAt = time.Now()
+		}
 		select {
 		case <-m.quit: // an error may be from stop's read deadline, so it says nothing of the client
 			return
--- a/internal/sidecar/clock.go
+++ b/internal/sidecar/clock.go
@@ -12,6 +12,11 @@
 	return time.Duration(c.start.UnixNano()) + time.Since(c.start)
 }
 
+// of converts a time to one of this clock.
+func (c clock) of(t time.Time) time.Duration {
+	return time.Duration(c.start.UnixNano()) + t.Sub(c.start)
+}
+
 // at converts a time of this clock, for deadlines on connections.
 func (c clock) at(d time.Duration) time.Time {
 	return c.start.Add(d - time.Duration(c.start.UnixNano()))
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -61,10 +61,12 @@
 
 // ServeHTTP handles one request of the application, or a readiness check.
 func (f *ingress) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	// The client's timeout runs from when it sent the request, so the arrival is taken before the body is read.
+	// The client's timeout runs from when it sent the request, so the arrival is taken before the body is read, and
+	// of a request that waited behind another one before its turn came.
 	arrived := f.clock.now()
 	if c := clientConnOf(r.Context()); c != nil {
 		c.expectBody(r.ContentLength)
+		arrived = min(arrived, f.clock.of(c.requestArrived()))
 	}
 	if isReadinessCheck(r) {
 		f.writeReadiness(w, r)
--- a/internal/sidecar/pipelining_test.go
+++ b/internal/sidecar/pipelining_test.go
@@ -85,3 +85,44 @@
 	}
 	return res
 }
+
+// A request waits behind another one on its connection. Its time runs from when it came, not from when its turn comes:
+// a server was told of more time than the client had left, and requests whose time was over were sent on.
+func TestTimeOfPipelinedRequestRunsFromItsArrival(t *testing.T) {
+	const waited = 100 * time.Millisecond // at least, behind the first
+	withTimeout := func(id, timeout string) string {
+		return strings.Replace(rawRequest(id), "20000m", timeout, 1)
+	}
+	for name, separately := range map[string]bool{"sent at once": false, "sent later": true} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			s := newStub(t, echoAfter(release, "first"))
+			side := start(t, nil, s.address)
+			behind := withTimeout("enough", "20000m") + withTimeout("too late", "90m")
+			first := rawRequest("first")
+			if !separately {
+				first, behind = first+behind, ""
+			}
+			client := sendOnNewConn(t, strings.TrimPrefix(side.url, "http://"), first)
+			wait(t, "the first request", s.seen)
+			write(t, client, behind)
+			for sent := time.Now(); time.Since(sent) < 2*waited; { // the sidecar has read it by half of that time
+				if res, _ := do(t, side.request(t, "GET", "/up", "")); res.StatusCode != http.StatusOK {
+					t.Fatalf("GET /up: %s", res.Status)
+				}
+			}
+			close(release)
+			r := bufio.NewReader(client)
+			expectOK(t, r)
+			expectOK(t, r)
+			told, ok := parseTimeout(wait(t, "the second request", s.seen).Header.Get("X-Timeout"))
+			if limit := 20*time.Second - waited; !ok || told > limit {
+				t.Errorf("the server was told %v, want %v at most", told, limit)
+			}
+			res, err := http.ReadResponse(r, nil)
+			if err != nil || res.StatusCode != http.StatusServiceUnavailable || len(s.seen) > 0 {
+				t.Errorf("the request whose time is over: %+v, error %v, %d forwarded; want 503 and none", res, err, len(s.seen))
+			}
+		})
+	}
+}
