--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -1,9 +1,11 @@
 package sidecar
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -40,6 +42,19 @@
 	return c.(*net.TCPConn)
 }
 
+// readWholeResponse reads a response to its end.
+func readWholeResponse(t *testing.T, r *bufio.Reader) *http.Response {
+	t.Helper()
+	res, err := http.ReadResponse(r, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, res.Body); err != nil {
+		t.Fatal(err)
+	}
+	return res
+}
+
 func write(t *testing.T, c net.Conn, text string) {
 	t.Helper()
 	if _, err := io.WriteString(c, text); err != nil {
--- a/internal/sidecar/pipelining_test.go
+++ b/internal/sidecar/pipelining_test.go
@@ -71,19 +71,11 @@
 }
 
 // expectOK reads a response with status 200 to its end.
-func expectOK(t *testing.T, r *bufio.Reader) *http.Response {
+func expectOK(t *testing.T, r *bufio.Reader) {
 	t.Helper()
-	res, err := http.ReadResponse(r, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		t.Fatal(err)
-	}
-	if res.StatusCode != http.StatusOK {
+	if res := readWholeResponse(t, r); res.StatusCode != http.StatusOK {
 		t.Fatal(res.Status)
 	}
-	return res
 }
 
 // A request waits behind another one on its connection. Its time runs from when it came, not from when its turn comes:
--- a/internal/sidecar/rejection_test.go
+++ b/internal/sidecar/rejection_test.go
@@ -37,14 +37,7 @@
 // expectResponse reads a response to its end.
 func expectResponse(t *testing.T, r *bufio.Reader, status int) {
 	t.Helper()
-	res, err := http.ReadResponse(r, nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if _, err := io.Copy(io.Discard, res.Body); err != nil {
-		t.Fatal(err)
-	}
-	if res.StatusCode != status || !res.Close {
+	if res := readWholeResponse(t, r); res.StatusCode != status || !res.Close {
 		t.Errorf("%s, closes: %v, want %d and a close", res.Status, res.Close, status)
 	}
 }
