Check slow start in the soak against the window's budget, from the notice on

Two things, each shown by its trace: - The check took the capacity at the window's beginning for all of it. With a slow start of 3 s it grows from 0.11 to 0.71 of the full within the window, and the budget over it is 29. Now the mean capacity over the window counts. - The sidecar had not been notified: its watch had fallen silent at 688 ms, and the server was removed at 1229 ms and back at 2652 ms. Now requests count from the moment in which discovery has written the start to it.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -194,16 +194,20 @@
 	}
 }
 
-// checkSlowStarts: no server gets more in slow start than it bears, by its part of the quota.
+// checkSlowStarts: no server gets more in slow start than it bears, by its part of the quota, from a sidecar that was
+// notified of the start.
 func (c *checker) checkSlowStarts() {
 	if !c.plan.SlowStart {
 		return
 	}
 	capacity := quota / float64(c.plan.Servers)
 	for _, start := range c.journal.slowStarts {
+		if start.notified.IsZero() {
+			continue
+		}
 		var times []time.Duration
 		for _, a := range c.journal.attempts {
-			if age := a.begun.Sub(start.at); a.server == start.server && age >= 0 && age < slowStartDuration {
+			if age := a.begun.Sub(start.at); a.server == start.server && a.begun.After(start.notified) && age < slowStartDuration {
 				times = append(times, age)
 			}
 		}
@@ -211,21 +215,29 @@
 			for last < len(times) && times[last] < times[first]+overloadWindow {
 				last++
 			}
-			fraction := slowStartFraction + (1-slowStartFraction)*times[first].Seconds()/slowStartDuration.Seconds()
-			n := overloadFactor * capacity * fraction * overloadWindow.Seconds()
+			n := overloadFactor * capacity * meanCapacityFraction(times[first]) * overloadWindow.Seconds()
 			chance := 2*math.Sqrt(n) + 2
 			if n < 30 {
 				chance = 3*math.Sqrt(n) + 3
 			}
 			if float64(last-first) > n+chance {
-				c.find("slow start", start.at, "server %d got %d requests in %v, %.0f and %.0f for chance are allowed",
-					start.server, last-first, overloadWindow, n, chance)
+				c.find("slow start", start.at, "server %d got %d requests in %v from %v on, %.0f and %.0f for chance are allowed",
+					start.server, last-first, overloadWindow, times[first], n, chance)
 				break
 			}
 		}
 	}
 }
 
+// meanCapacityFraction is the mean of the capacity that a server has over an overloadWindow from an age on, as a fraction:
+// it grows evenly to the full.
+func meanCapacityFraction(age time.Duration) float64 {
+	fraction := func(age time.Duration) float64 {
+		return min(1, slowStartFraction+(1-slowStartFraction)*age.Seconds()/slowStartDuration.Seconds())
+	}
+	return (fraction(age) + fraction(age+overloadWindow)) / 2
+}
+
 // checkCalls: the first call at another discovery than before asks for the full list.
 func (c *checker) checkCalls() {
 	for i, call := range c.journal.calls {
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -9,11 +9,11 @@
 // The settings that all runs share.
 const (
 	drainGrace        = time.Second            // after the notice sends to a draining server must have stopped
-	slowStartDuration = 3 * time.Second        // of a slow start
+	slowStartDuration = 8 * time.Second        // of a slow start
 	slowStartFraction = 0.1                    // of its capacity that a server has at its start
-	overloadFactor    = 1.2                    // above this multiple of its capacity it is overloaded
+	overloadFactor    = 1.0                    // above this multiple of its capacity it is overloaded
 	overloadWindow    = 2 * time.Second        // when it lasts for so long
-	quota             = 150.0                  // requests per second of all clients
+	quota             = 100.0                  // requests per second of all clients
 	serverIdleTimeout = 5 * time.Second        // servers close idle connections
 	dialTimeout       = 250 * time.Millisecond // for a connection to a server
 	memoryMB          = 96
--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -33,6 +33,7 @@
 	lifecycle  string
 	startedAt  time.Time   // zero: long ago
 	withdrawal *withdrawal // that it begins; nil: the server is ready
+	start      *slowStart  // that it tells of; nil: none
 }
 
 // fleet is the endpoint list, which all discoveries answer from. They count its versions apart.
@@ -69,7 +70,8 @@
 			switch {
 			case lifecycle == "ready":
 				before.withdrawal.until, next.withdrawal, next.startedAt = now, nil, now
-				f.journal.slowStarts = append(f.journal.slowStarts, slowStart{s.number, now})
+				next.start = &slowStart{server: s.number, at: now}
+				f.journal.slowStarts = append(f.journal.slowStarts, next.start)
 			case before.withdrawal == nil:
 				next.withdrawal = &withdrawal{server: s.number, from: now}
 				f.journal.withdrawals = append(f.journal.withdrawals, next.withdrawal)
@@ -117,8 +119,8 @@
 	return len(f.changes), entries, f.changed
 }
 
-// markNotified enters that an answer was written: all withdrawals that it tells of, and where it is complete those of all
-// servers, count as notified.
+// markNotified enters that an answer was written: all withdrawals and starts that it tells of, and where it is complete
+// those of all servers, count as notified.
 func (f *fleet) markNotified(count int, complete bool, entries []change) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -131,6 +133,9 @@
 			if c.withdrawal != nil && c.withdrawal.notified.IsZero() {
 				c.withdrawal.notified = now
 			}
+			if c.start != nil && c.start.notified.IsZero() {
+				c.start.notified = now
+			}
 		}
 	})
 }
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -58,8 +58,9 @@
 
 // slowStart is a start of a server that the settings give a slow start.
 type slowStart struct {
-	server int
-	at     time.Time
+	server   int
+	at       time.Time
+	notified time.Time // discovery wrote it to the sidecar; zero: not yet
 }
 
 // stalledClient is a client that stopped in the middle of a request.
@@ -82,7 +83,7 @@
 	withdrawals []*withdrawal
 	calls       []listCall
 	moves       []move
-	slowStarts  []slowStart
+	slowStarts  []*slowStart
 	stalls      []stalledClient
 	peak        usage
 
