--- a/internal/sidecar/acceptor.go
+++ b/internal/sidecar/acceptor.go
@@ -16,7 +16,8 @@
 // descriptors that connections to servers need, and Accept would fail with "too many open files".
 //
 // At the limit a connection that is being closed anyway, or the one that has been idle for longest, is closed to admit a
-// new one; while all have a request open, new ones wait. Below the limit it closes none, as each close may cross a request that its client is sending.
+// new one; while all have a request open, new ones wait. Below the limit it closes none, as each close may cross a
+// request that its client is sending.
 //
 // net/http's Serve calls Accept in one goroutine; the rest is called from the goroutines of connections.
 type acceptor struct {
