--- a/internal/soak/discovery.go
+++ b/internal/soak/discovery.go
@@ -39,7 +39,6 @@
 // fleet is the endpoint list, which all discoveries answer from. They count its versions apart.
 type fleet struct {
 	journal *journal
-	servers []*server
 
 	mu      sync.Mutex
 	changes []change
@@ -48,7 +47,7 @@
 }
 
 func newFleet(servers []*server, j *journal) *fleet {
-	f := &fleet{journal: j, servers: servers, changed: make(chan struct{})}
+	f := &fleet{journal: j, changed: make(chan struct{})}
 	for _, s := range servers {
 		f.current = append(f.current, change{server: s, lifecycle: "ready"})
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -16,7 +16,6 @@
 
 const (
 	startTimeout     = 30 * time.Second
-	newConnsAfter    = 300 * time.Millisecond // after SIGTERM new connections still come for so long
 	signalDelay      = 30 * time.Millisecond  // between signals in a row
 	afterKill        = 200 * time.Millisecond // until the clients have read what was on the way
 	firstVersion     = 40                     // of the first discovery's list
