Review, case 2: a second answer that comes 10 to 12 ms late is served to another request

Seen: one answer in five comes twice, the second copy 2 to 12 ms late and only while nothing else waits on its connection. Some clients are served, with status 200, the body that a server made for another client's request, print orders among them.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -26,7 +26,8 @@
 
 // cases holds the cases by name.
 var cases = map[string]caseFunc{
-	"endless-head": runEndlessHead,
+	"endless-head":       runEndlessHead,
+	"late-second-answer": runLateSecondAnswer,
 }
 
 func main() {
