Review, case 3: no answer without a length is forwarded, however whole it came

Seen: one answer in three has neither Content-Length nor chunked encoding, comes whole and ends with an orderly close.

--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -28,6 +28,7 @@
 var cases = map[string]caseFunc{
 	"endless-head":       runEndlessHead,
 	"late-second-answer": runLateSecondAnswer,
+	"no-length":          runNoLength,
 }
 
 func main() {
