--- a/review/standin/environment.go
+++ b/review/standin/environment.go
@@ -124,6 +124,13 @@
 	}
 }
 
+// kill kills the sidecar, if it has been started.
+func (e *environment) kill() {
+	if e.sidecar != nil {
+		_ = e.sidecar.Process.Kill() // fails only if the process has exited
+	}
+}
+
 // stop ends the sidecar, adds its log to the record and removes the temporary folder.
 func (e *environment) stop() {
 	if e.sidecar != nil {
@@ -131,7 +138,7 @@
 		select {
 		case <-e.exited:
 		case <-time.After(exitTimeout):
-			_ = e.sidecar.Process.Kill() // fails only if the process has exited
+			e.kill()
 			<-e.exited
 		}
 		for line := range strings.SplitSeq(strings.TrimSpace(e.log.String()), "\n") {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"time"
 )
 
 // The exit codes of a case.
@@ -18,6 +19,9 @@
 	exitCannotRun = 2
 )
 
+// runLimit is how long a case may run.
+const runLimit = 115 * time.Second
+
 // errTooFewAnswers means that a run was too small to show anything.
 var errTooFewAnswers = errors.New("too few requests were answered")
 
@@ -53,6 +57,12 @@
 	defer record.close()
 	e := &environment{record: record, trouble: os.Getenv("TROUBLE") != "0"}
 	record.printf("case %s, disruption: %t", name, e.trouble)
+	time.AfterFunc(runLimit, func() {
+		e.kill()
+		record.summary("the case couldn't run: not done after %v", runLimit)
+		record.close()
+		os.Exit(exitCannotRun)
+	})
 	violations, err := play(e)
 	e.stop()
 	switch {
