Limit the header fields of a message, so that unfinished heads fit into memory

Cause: the limits on a head counted bytes on the wire (512 KiB of a response, 8 MB from discovery, 20 KB of a request). net/textproto makes an entry of a map of each line, which takes eight times the size of a short line and sixteen times that of a line without a value, until the attempt times out.

Evidence: a heap profile of the sidecar in that case, taken at 40 MB: after a collection 97% of 43 MB live belonged to textproto.readMIMEHeader below conn.readResponse. Related: request heads (300 clients that send 20 KB of short lines and stay: 85 MB, without them 18 MB) and responses of discovery (8 MB of lines were read).

Fix: headScanner counts the lines of a head as bytes arrive, before a parser sees them, and fails after 100 fields; it stays failed, as a parser takes a line that was cut off for a whole one. responseReader puts it below net/http for servers and discovery, with 16 KiB for a head, and holds the loop over interim responses that stood twice (the limit is 8 in both now). clientConn.Read uses it for requests, which get 400.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -77,7 +77,11 @@
 	if c.closed {
 		return 0, net.ErrClosed
 	}
-	if consumed := c.boundary.consume(p[:n]); consumed < n {
+	consumed, headErr := c.boundary.consume(p[:n])
+	if headErr != nil {
+		return 0, headErr // net/http responds with 400 and closes the connection
+	}
+	if consumed < n {
 		c.buffered = append(bytes.Clone(p[consumed:n]), c.buffered...)
 		n = consumed
 	}
--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"bufio"
-	"io"
 	"net"
 	"syscall"
 	"time"
@@ -12,16 +10,12 @@
 // goroutine, or by the pool while it is idle.
 type conn struct {
 	net.Conn
-	reader        *bufio.Reader
-	responseLimit io.LimitedReader // bounds the bytes read for the current response
-	idleSince     time.Duration    // when putIdle returned it to the pool
+	reader    *responseReader
+	idleSince time.Duration // when putIdle returned it to the pool
 }
 
 func newConn(raw net.Conn) *conn {
-	c := &conn{Conn: raw}
-	c.responseLimit.R = raw
-	c.reader = bufio.NewReader(&c.responseLimit)
-	return c
+	return &conn{Conn: raw, reader: newResponseReader(raw, maxFramedBodyBytes)}
 }
 
 // reusable reports whether the connection may carry another exchange after a complete response: the server
--- a/internal/sidecar/discovery.go
+++ b/internal/sidecar/discovery.go
@@ -50,6 +50,8 @@
 
 	// maxListBytes limits the body of a response, far above the size of any real list.
 	maxListBytes = 8 << 20
+	// maxFramedListBytes limits that body on the wire, with its framing.
+	maxFramedListBytes = maxListBytes + 16<<10
 )
 
 var (
--- a/internal/sidecar/discovery_call.go
+++ b/internal/sidecar/discovery_call.go
@@ -1,7 +1,6 @@
 package sidecar
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -45,10 +44,10 @@
 	if _, err := fmt.Fprintf(c, "GET /discovery/hosts%s HTTP/1.1\r\nHost: %s\r\n\r\n", query, address); err != nil {
 		return endpointlist.List{}, false, fmt.Errorf("write request: %w", err)
 	}
-	r := bufio.NewReader(io.LimitReader(c, maxHeaderBytes+maxListBytes+1))
-	res, err := readFinalResponse(r)
+	r := newResponseReader(c, maxFramedListBytes)
+	res, err := r.readHead(nil)
 	if err != nil {
-		return endpointlist.List{}, false, fmt.Errorf("read response: %w", err)
+		return endpointlist.List{}, false, err
 	}
 	body, err := io.ReadAll(io.LimitReader(res.Body, maxListBytes+1))
 	if err != nil {
@@ -72,15 +71,6 @@
 	return update, reusable, nil
 }
 
-// readFinalResponse reads a response, skipping up to maxInterimResponses interim (1xx) responses.
-func readFinalResponse(r *bufio.Reader) (*http.Response, error) {
-	res, err := http.ReadResponse(r, nil)
-	for n := 0; err == nil && res.StatusCode/100 == 1 && n < maxInterimResponses; n++ {
-		res, err = http.ReadResponse(r, nil)
-	}
-	return res, err
-}
-
 // connect returns the idle connection if it is alive and connected to address, and a new connection otherwise.
 func (d *discoveryClient) connect(ctx context.Context, address string) (net.Conn, error) {
 	d.mu.Lock()
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -22,8 +22,6 @@
 	readBodyTimeout = 2 * time.Second
 	// clientIdleTimeout is how long a client's connection may be idle before it is closed.
 	clientIdleTimeout = 2 * time.Minute
-	// maxHeaderBytes limits the head of a request.
-	maxHeaderBytes = 16 << 10
 
 	readinessPath = "/up"
 
--- a/internal/sidecar/parse_test.go
+++ b/internal/sidecar/parse_test.go
@@ -63,6 +63,20 @@
 	}
 }
 
+// A client sends a request with as many header fields as the limit allows. It must be served; it counts no
+// fields of the request before it on the connection.
+func TestRequestWithManyHeaderFieldsIsServed(t *testing.T) {
+	side := startSidecar(t, nil, newStub(t, echo).address)
+	c := side.dial(t)
+	r := bufio.NewReader(c)
+	for n := range 3 {
+		head := fmt.Sprintf(rawHead, fmt.Sprintf("r%d", n)) + "Content-Length: 2\r\n"
+		fields := strings.Count(head, "\r\n") - 1
+		write(t, c, head+strings.Repeat("A: 1\r\n", maxHeaderFields-fields)+"\r\n\n\n")
+		expectOK(t, r)
+	}
+}
+
 // parseRequest must map the headers of a request to the fields of policy.Request.
 func TestParseRequestMapsHeaders(t *testing.T) {
 	cfg := testConfig(t, fullListResponse(1, "ready"), nil)
@@ -237,6 +251,7 @@
 		"body shorter than Content-Length":                     {408, head + "Content-Length: 100\r\n\r\n1"},
 		"not HTTP":                                             {400, "\x00\x01\x02 nonsense\r\n\r\n" + hidden},
 		"headers above the limit":                              {431, head + strings.Repeat("X-A: "+strings.Repeat("x", 1000)+"\r\n", 40)},
+		"more fields than the limit":                           {400, head + strings.Repeat("A: 1\r\n", maxHeaderFields) + "Content-Length: 1\r\n\r\n1" + hidden},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -245,7 +260,11 @@
 			}
 		})
 	}
-	for name, bytes := range map[string]string{"incomplete head": head, "nothing sent": ""} {
+	for name, bytes := range map[string]string{
+		"incomplete head":                    head,
+		"incomplete head of too many fields": head + strings.Repeat("A: 1\r\n", 10*maxHeaderFields),
+		"nothing sent":                       "",
+	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			side.sendRaw(t, bytes)
--- a/internal/sidecar/readresponse.go
+++ b/internal/sidecar/readresponse.go
@@ -7,12 +7,8 @@
 )
 
 const (
-	maxBodyBytes     = 64 << 10  // limit on the body of a request or a response
-	maxResponseBytes = 512 << 10 // limit on a whole response on the wire, with headers and framing
-
-	// maxInterimResponses limits the 1xx responses before the final one: readResponse accepts fewer than this,
-	// readFinalResponse up to this many.
-	maxInterimResponses = 8
+	maxBodyBytes       = 64 << 10  // limit on the body of a request or a response
+	maxFramedBodyBytes = 512 << 10 // limit on the body of a response on the wire, with its framing
 )
 
 // serverResponse is a complete response of a server, with its body read.
@@ -22,25 +18,17 @@
 }
 
 // readResponse reads one complete response. The method of its request decides whether the response has a
-// body. The size is bounded, so that a faulty server can't exhaust the memory of the process.
+// body.
 func (c *conn) readResponse(method string) (*serverResponse, error) {
-	c.responseLimit.N = maxResponseBytes
-	request := &http.Request{Method: method}
-	for range maxInterimResponses {
-		res, err := http.ReadResponse(c.reader, request)
-		if err != nil {
-			return nil, fmt.Errorf("transport: read response header: %w", err)
-		}
-		if res.StatusCode/100 == 1 {
-			continue
-		}
-		body, err := readResponseBody(res)
-		if err != nil {
-			return nil, err
-		}
-		return &serverResponse{Response: res, body: body}, nil
+	res, err := c.reader.readHead(&http.Request{Method: method})
+	if err != nil {
+		return nil, fmt.Errorf("transport: %w", err)
+	}
+	body, err := readResponseBody(res)
+	if err != nil {
+		return nil, err
 	}
-	return nil, errTooManyInterimResponses
+	return &serverResponse{Response: res, body: body}, nil
 }
 
 // readResponseBody reads a body with an explicit end: one with a Content-Length or in chunked encoding.
--- a/internal/sidecar/requestboundary_test.go
+++ b/internal/sidecar/requestboundary_test.go
@@ -40,11 +40,14 @@
 	var part strings.Builder
 	for len(text) > 0 {
 		expected := b.bodyRemaining
-		n := b.consume([]byte(text[:min(chunk, len(text))]))
+		n, err := b.consume([]byte(text[:min(chunk, len(text))]))
+		if err != nil {
+			panic(err)
+		}
 		part.WriteString(text[:n])
 		endsLine := text[n-1] == '\n'
 		text = text[n:]
-		headEnded := expected == 0 && endsLine && b.lineLength == 0 && !b.inHead
+		headEnded := expected == 0 && endsLine && b.head == headScanner{}
 		bodyEnded := expected > 0 && b.bodyRemaining == 0
 		if headEnded && len(parts) == 0 {
 			b.expectBody(body)
--- a/internal/sidecar/result.go
+++ b/internal/sidecar/result.go
@@ -33,9 +33,8 @@
 
 // Errors of readResponse, which occur after the request was written: the request may have run.
 var (
-	errBodyTooLarge            = errors.New("transport: response body exceeds the size limit")
-	errBodyUndelimited         = errors.New("transport: response body has neither Content-Length nor chunked encoding")
-	errTooManyInterimResponses = errors.New("transport: too many interim (1xx) responses")
+	errBodyTooLarge    = errors.New("transport: response body exceeds the size limit")
+	errBodyUndelimited = errors.New("transport: response body has neither Content-Length nor chunked encoding")
 )
 
 // resultBeforeWrite returns the result of an exchange whose request was not written to its last byte.
