--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -19,7 +19,7 @@
 }
 
 // reusable reports whether the connection may carry another exchange after a complete response: the server
-// keeps it open and has sent nothing after the response.
+// keeps it open, so that the response didn't end with it, and has sent nothing after the response.
 func (c *conn) reusable(res *serverResponse) bool {
 	return !res.Close && c.reader.Buffered() == 0
 }
