Forward responses of up to 256 KiB, long ones within a memory budget

Callers saw 502 for a response of over 64 KiB, after its request had run, or the request ran again. Chunked ones and such with a length were lost as well.

Fix: 256 KiB. What a body has over 64 KiB is taken from a budget of an eighth of the memory limit as its bytes arrive, and returned when its request has been answered, so an announced length takes nothing. Short bodies stay bounded by the limit on connections, as before.

TestLongResponsesAreForwarded failed before (502 for each framing). New tests passed -race -count=50.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -167,8 +167,8 @@
 // maxServerConns returns the limit on open connections to servers.
 func (c *Config) maxServerConns() int { return c.MaxDescriptors * 3 / 8 }
 
-// maxTotalBodyBytes returns the limit on the total size of the request bodies in memory: an eighth of MemoryMB,
-// or no limit if MemoryMB is 0.
+// maxTotalBodyBytes returns the limit on the total size of the request bodies in memory, and on that of the long
+// bodies: each is an eighth of MemoryMB, or no limit if MemoryMB is 0.
 func (c *Config) maxTotalBodyBytes() int64 {
 	if c.MemoryMB == 0 {
 		return math.MaxInt64
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -94,7 +94,7 @@
 		t.discard(c)
 		return nil, t.resultBeforeWrite(x, limits, err)
 	}
-	res, err := c.readResponse(request.method)
+	res, err := c.readResponse(request.method, request.memory)
 	if err == nil && c.reusable(res) && x.finish() {
 		t.putIdle(to, c)
 	} else {
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -22,6 +22,8 @@
 	readBodyTimeout = 2 * time.Second
 	// clientIdleTimeout is how long a client's connection may be idle before it is closed.
 	clientIdleTimeout = 2 * time.Minute
+	// maxRequestBodyBytes limits the body of a request.
+	maxRequestBodyBytes = 64 << 10
 
 	readinessPath = "/up"
 
@@ -45,6 +47,7 @@
 	ready             atomic.Bool  // whether readiness checks are answered with 200
 	drainDeadline     atomic.Int64 // time of the clock by which responses must be written; 0: not draining
 
+	longBodies          *memoryBudget // of the responses to requests in flight
 	rejectedBodyTimeout time.Duration // how long to read the rest of a rejected request
 
 	mu          sync.Mutex
@@ -52,7 +55,12 @@
 }
 
 func newIngress(cfg *Config, c clock, l *eventLoop) *ingress {
-	return &ingress{cfg: cfg, clock: c, loop: l, inFlightIDs: make(map[string]bool), rejectedBodyTimeout: rejectedBodyTimeout}
+	return &ingress{
+		cfg: cfg, clock: c, loop: l,
+		longBodies:          &memoryBudget{limit: cfg.maxTotalBodyBytes()},
+		rejectedBodyTimeout: rejectedBodyTimeout,
+		inFlightIDs:         make(map[string]bool),
+	}
 }
 
 // server returns the HTTP server for the application. The caller starts it and shuts it down.
@@ -136,7 +144,9 @@
 // forward submits a request to the event loop and writes the response. If the client disconnects before there
 // is a response, forward makes net/http close the connection without one.
 func (in *ingress) forward(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body []byte, deadline time.Duration) {
-	final := in.awaitResponse(r, parsed, body, deadline)
+	memory := &memoryCharge{budget: in.longBodies}
+	defer memory.release()
+	final := in.awaitResponse(r, parsed, body, memory, deadline)
 	if final == nil {
 		panic(http.ErrAbortHandler) // net/http then closes the connection without a response
 	}
@@ -146,10 +156,10 @@
 
 // awaitResponse submits a request to the event loop and returns the response, or nil if the client
 // disconnects before there is one.
-func (in *ingress) awaitResponse(r *http.Request, parsed parsedRequest, body []byte, deadline time.Duration) *response {
+func (in *ingress) awaitResponse(r *http.Request, parsed parsedRequest, body []byte, memory *memoryCharge, deadline time.Duration) *response {
 	client := monitorClient(r.Context())
 	defer client.stop()
-	outbound := newOutboundRequest(r, body, client.clientClosed)
+	outbound := newOutboundRequest(r, body, memory, client.clientClosed)
 	reply := make(chan response, 1) // buffered, so that the event loop never blocks on a handler
 	id := in.loop.submit(parsed.policy, outbound, deadline, reply)
 	select {
--- /dev/null
+++ b/internal/sidecar/memorybudget.go
@@ -0,0 +1,87 @@
+package sidecar
+
+import (
+	"errors"
+	"io"
+	"sync"
+	"sync/atomic"
+)
+
+// shortBodyBytes is the part of each body that needs no budget: the limits on connections bound the memory that
+// these parts take in all.
+const shortBodyBytes = 64 << 10
+
+// Errors of bodyReader.
+var (
+	errBodyTooLarge    = errors.New("body exceeds the size limit")
+	errBudgetExhausted = errors.New("long bodies exhaust their memory budget")
+)
+
+// memoryBudget limits the memory that long bodies take in all, so that they can't exhaust that of the process.
+type memoryBudget struct {
+	limit int64 // bytes
+	used  atomic.Int64
+}
+
+// reserve takes bytes from the budget, or nothing if it has too few left.
+func (b *memoryBudget) reserve(bytes int64) bool {
+	if b.used.Add(bytes) > b.limit {
+		b.used.Add(-bytes)
+		return false
+	}
+	return true
+}
+
+// memoryCharge is what the bodies of one client's request take from a budget. Its methods are safe for
+// concurrent use. A nil charge has no budget.
+type memoryCharge struct {
+	budget *memoryBudget
+
+	mu       sync.Mutex
+	bytes    int64
+	released bool
+}
+
+// reserve takes bytes from the budget. It returns false if the budget has too few left, or after release: an
+// attempt may go on when its request has been answered, but nobody waits for the rest of its response.
+func (c *memoryCharge) reserve(bytes int64) bool {
+	if c == nil {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.released || !c.budget.reserve(bytes) {
+		return false
+	}
+	c.bytes += bytes
+	return true
+}
+
+// release returns all bytes to the budget. It is called once the request's handler no longer uses the bodies.
+func (c *memoryCharge) release() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.budget.used.Add(-c.bytes)
+	c.bytes, c.released = 0, true
+}
+
+// bodyReader reads a body within a limit on its size, and takes the memory for what exceeds shortBodyBytes from
+// a budget as the bytes arrive. A length that is only announced takes nothing.
+type bodyReader struct {
+	source   io.Reader
+	maxBytes int
+	charge   *memoryCharge
+	read     int // bytes
+}
+
+func (r *bodyReader) Read(p []byte) (int, error) {
+	n, err := r.source.Read(p)
+	r.read += n
+	if r.read > r.maxBytes {
+		return 0, errBodyTooLarge
+	}
+	if long := min(n, r.read-shortBodyBytes); long > 0 && !r.charge.reserve(int64(long)) {
+		return 0, errBudgetExhausted
+	}
+	return n, err
+}
--- a/internal/sidecar/outbound.go
+++ b/internal/sidecar/outbound.go
@@ -18,11 +18,12 @@
 	host         string
 	header       http.Header // end-to-end headers only
 	body         []byte
-	clientClosed func() bool // reports whether the client has closed its connection; nil: there is no client
+	clientClosed func() bool   // reports whether the client has closed its connection; nil: there is no client
+	memory       *memoryCharge // of the request's long bodies; nil: no response may have one
 }
 
 // newOutboundRequest returns the request to forward for a client's request, whose body has been read.
-func newOutboundRequest(r *http.Request, body []byte, clientClosed func() bool) *outboundRequest {
+func newOutboundRequest(r *http.Request, body []byte, memory *memoryCharge, clientClosed func() bool) *outboundRequest {
 	return &outboundRequest{
 		method:       r.Method,
 		uri:          r.RequestURI,
@@ -30,6 +31,7 @@
 		header:       endToEndHeaders(r.Header),
 		body:         body,
 		clientClosed: clientClosed,
+		memory:       memory,
 	}
 }
 
--- a/internal/sidecar/parse.go
+++ b/internal/sidecar/parse.go
@@ -172,7 +172,7 @@
 }
 
 // checkIdempotency rejects requests whose idempotency key or body does not match the idempotency of their
-// class, and bodies over maxBodyBytes.
+// class, and bodies over maxRequestBodyBytes.
 func checkIdempotency(r *http.Request, class *policy.Class) *rejectionError {
 	key := r.Header.Get(headerIdempotencyKey)
 	switch {
@@ -184,7 +184,7 @@
 		return reject(http.StatusBadRequest, "GET has no body")
 	case class.Idempotency != policy.Idempotent && r.Header[headerContentLength] == nil:
 		return reject(http.StatusLengthRequired, "Content-Length is missing")
-	case r.ContentLength > maxBodyBytes:
+	case r.ContentLength > maxRequestBodyBytes:
 		return reject(http.StatusRequestEntityTooLarge, "the body is too long")
 	}
 	return nil
--- a/internal/sidecar/result.go
+++ b/internal/sidecar/result.go
@@ -31,10 +31,6 @@
 	errAbandoned = errors.New("transport: exchange abandoned before its request was written")
 )
 
-// errBodyTooLarge is an error of readResponse. It occurs after the request was written: the request may have
-// run.
-var errBodyTooLarge = errors.New("transport: response body exceeds the size limit")
-
 // resultBeforeWrite returns the result of an exchange whose request was not written to its last byte.
 func (t *transport) resultBeforeWrite(x *exchange, limits deadlines, err error) policy.Result {
 	if result, abandoned := x.abandonedResult(); abandoned {
