Forward requests of up to 256 KiB, within the budget for long bodies

Fix: requests and responses have one limit of 256 KiB again. What a request's body has over 64 KiB is taken from the budget for long bodies as it arrives, so many clients that send long bodies and stay can't take the sidecar over its memory. Without memory left the request gets 503 with a jittered Retry-After: it was not forwarded. Its charge covers its response too, and ends with the handler.

--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"errors"
 	"io"
 	"math/rand/v2"
 	"net/http"
@@ -22,8 +23,6 @@
 	readBodyTimeout = 2 * time.Second
 	// clientIdleTimeout is how long a client's connection may be idle before it is closed.
 	clientIdleTimeout = 2 * time.Minute
-	// maxRequestBodyBytes limits the body of a request.
-	maxRequestBodyBytes = 64 << 10
 
 	readinessPath = "/up"
 
@@ -47,7 +46,7 @@
 	ready             atomic.Bool  // whether readiness checks are answered with 200
 	drainDeadline     atomic.Int64 // time of the clock by which responses must be written; 0: not draining
 
-	longBodies          *memoryBudget // of the responses to requests in flight
+	longBodies          *memoryBudget // of the requests in flight and of the responses to them
 	rejectedBodyTimeout time.Duration // how long to read the rest of a rejected request
 
 	mu          sync.Mutex
@@ -100,12 +99,14 @@
 		return
 	}
 	defer in.releaseID(id)
-	body, rejection := readBody(w, r)
+	memory := &memoryCharge{budget: in.longBodies}
+	defer memory.release()
+	body, rejection := in.readBody(w, r, memory)
 	if rejection != nil {
 		in.reject(w, r, rejection)
 		return
 	}
-	in.forwardWithinLimits(w, r, parsed, body, arrived+parsed.timeout)
+	in.forwardWithinLimits(w, r, parsed, requestBody{body, memory}, arrived+parsed.timeout)
 }
 
 func isReadinessCheck(r *http.Request) bool {
@@ -127,8 +128,8 @@
 // A request is counted only once it has been read in full. If it were counted from its head on, a few clients
 // that announce a body and never send it could use up the limits for all others. Until a request is counted,
 // only the limit on client connections applies to it.
-func (in *ingress) forwardWithinLimits(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body []byte, deadline time.Duration) {
-	size := int64(len(body))
+func (in *ingress) forwardWithinLimits(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body requestBody, deadline time.Duration) {
+	size := int64(len(body.bytes))
 	inFlight, inFlightBodyBytes := in.inFlight.Add(1), in.inFlightBodyBytes.Add(size)
 	defer in.inFlight.Add(-1)
 	defer in.inFlightBodyBytes.Add(-size)
@@ -143,10 +144,8 @@
 
 // forward submits a request to the event loop and writes the response. If the client disconnects before there
 // is a response, forward makes net/http close the connection without one.
-func (in *ingress) forward(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body []byte, deadline time.Duration) {
-	memory := &memoryCharge{budget: in.longBodies}
-	defer memory.release()
-	final := in.awaitResponse(r, parsed, body, memory, deadline)
+func (in *ingress) forward(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body requestBody, deadline time.Duration) {
+	final := in.awaitResponse(r, parsed, body, deadline)
 	if final == nil {
 		panic(http.ErrAbortHandler) // net/http then closes the connection without a response
 	}
@@ -156,10 +155,10 @@
 
 // awaitResponse submits a request to the event loop and returns the response, or nil if the client
 // disconnects before there is one.
-func (in *ingress) awaitResponse(r *http.Request, parsed parsedRequest, body []byte, memory *memoryCharge, deadline time.Duration) *response {
+func (in *ingress) awaitResponse(r *http.Request, parsed parsedRequest, body requestBody, deadline time.Duration) *response {
 	client := monitorClient(r.Context())
 	defer client.stop()
-	outbound := newOutboundRequest(r, body, memory, client.clientClosed)
+	outbound := newOutboundRequest(r, body, client.clientClosed)
 	reply := make(chan response, 1) // buffered, so that the event loop never blocks on a handler
 	id := in.loop.submit(parsed.policy, outbound, deadline, reply)
 	select {
@@ -227,17 +226,26 @@
 	delete(in.inFlightIDs, id)
 }
 
+// requestBody is the body of a request, read in full, and the charge for its memory.
+type requestBody struct {
+	bytes  []byte
+	memory *memoryCharge
+}
+
 // readBody reads a body of the announced length within readBodyTimeout, so that a client that announces more
 // than it sends does not hold memory and a connection indefinitely. io.ReadAll allocates memory only for
-// bytes that arrive.
-func readBody(w http.ResponseWriter, r *http.Request) ([]byte, *rejectionError) {
+// bytes that arrive, and what a long body needs is taken from memory.
+func (in *ingress) readBody(w http.ResponseWriter, r *http.Request, memory *memoryCharge) ([]byte, *rejectionError) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	control := http.NewResponseController(w)
 	// SetReadDeadline fails only on a closed connection, and then the read fails too.
 	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
-	body, err := io.ReadAll(r.Body)
+	body, err := io.ReadAll(&bodyReader{source: r.Body, maxBytes: maxBodyBytes, charge: memory})
+	if errors.Is(err, errBudgetExhausted) {
+		return nil, rejectUntil(in.randomRetryAfter(), "too many long bodies are being read")
+	}
 	if err != nil {
 		return nil, reject(http.StatusRequestTimeout, "the body is shorter than Content-Length")
 	}
--- a/internal/sidecar/ingress_test.go
+++ b/internal/sidecar/ingress_test.go
@@ -82,6 +82,24 @@
 	}
 }
 
+// Requests of more than 64 KiB were refused with 413. They must be forwarded, and return the memory that they
+// take: all of them together exceed the budget.
+func TestLongRequestsAreForwarded(t *testing.T) {
+	const memoryMB, requests = 8, 12
+	sent := strings.Repeat("0123456789", 20_000)
+	s := newStub(t, echo)
+	side := startSidecar(t, func(file, _ map[string]any) { file["limits"].(map[string]any)["memory_mb"] = memoryMB }, s.address)
+	for n := range requests {
+		res, _ := doRequest(t, side.newRequest(t, "POST", "/entry", sent, "X-Request-ID", strconv.Itoa(n)))
+		if res.StatusCode != http.StatusOK {
+			t.Fatalf("request %d: status %s, want 200", n, res.Status)
+		}
+		if got := wait(t, "the request", s.receivedRequests); got.body != sent {
+			t.Fatalf("request %d: server received %d bytes, want the %d bytes of the client", n, len(got.body), len(sent))
+		}
+	}
+}
+
 // A non-idempotent request fails at a server, where it may have run. The client must get an error, and the
 // sidecar must not send the request again, as it could run twice.
 func TestNonIdempotentRequestIsNotRetried(t *testing.T) {
--- a/internal/sidecar/outbound.go
+++ b/internal/sidecar/outbound.go
@@ -23,15 +23,15 @@
 }
 
 // newOutboundRequest returns the request to forward for a client's request, whose body has been read.
-func newOutboundRequest(r *http.Request, body []byte, memory *memoryCharge, clientClosed func() bool) *outboundRequest {
+func newOutboundRequest(r *http.Request, body requestBody, clientClosed func() bool) *outboundRequest {
 	return &outboundRequest{
 		method:       r.Method,
 		uri:          r.RequestURI,
 		host:         r.Host,
 		header:       endToEndHeaders(r.Header),
-		body:         body,
+		body:         body.bytes,
 		clientClosed: clientClosed,
-		memory:       memory,
+		memory:       body.memory,
 	}
 }
 
--- a/internal/sidecar/parse.go
+++ b/internal/sidecar/parse.go
@@ -25,8 +25,9 @@
 // request reaches neither package policy nor a server. Functions return this type rather than error because
 // every rejection has a status.
 type rejectionError struct {
-	status int
-	reason string
+	status     int
+	reason     string
+	retryAfter time.Duration // with status 503: when the client should retry; 0: not stated
 }
 
 func (e *rejectionError) Error() string {
@@ -37,6 +38,11 @@
 	return &rejectionError{status: status, reason: reason}
 }
 
+// rejectUntil rejects a request that the client may retry safely, preferably after retryAfter.
+func rejectUntil(retryAfter time.Duration, reason string) *rejectionError {
+	return &rejectionError{status: http.StatusServiceUnavailable, reason: reason, retryAfter: retryAfter}
+}
+
 // parsedRequest holds the values of the headers of a valid request.
 type parsedRequest struct {
 	policy  policy.Request // without ID and Timeout, which eventLoop.submit sets
@@ -172,7 +178,7 @@
 }
 
 // checkIdempotency rejects requests whose idempotency key or body does not match the idempotency of their
-// class, and bodies over maxRequestBodyBytes.
+// class, and bodies over maxBodyBytes.
 func checkIdempotency(r *http.Request, class *policy.Class) *rejectionError {
 	key := r.Header.Get(headerIdempotencyKey)
 	switch {
@@ -184,7 +190,7 @@
 		return reject(http.StatusBadRequest, "GET has no body")
 	case class.Idempotency != policy.Idempotent && r.Header[headerContentLength] == nil:
 		return reject(http.StatusLengthRequired, "Content-Length is missing")
-	case r.ContentLength > maxRequestBodyBytes:
+	case r.ContentLength > maxBodyBytes:
 		return reject(http.StatusRequestEntityTooLarge, "the body is too long")
 	}
 	return nil
--- a/internal/sidecar/readresponse.go
+++ b/internal/sidecar/readresponse.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// maxResponseBodyBytes limits the body of a response. An endless body holds its request until it exceeds the
-	// limit.
-	maxResponseBodyBytes = 256 << 10
-	// maxFramedBodyBytes limits that body on the wire, with its framing.
-	maxFramedBodyBytes = 2 * maxResponseBodyBytes
+	// maxBodyBytes limits the body of a request or a response. An endless response holds its request until it
+	// exceeds the limit.
+	maxBodyBytes = 256 << 10
+	// maxFramedBodyBytes limits the body of a response on the wire, with its framing.
+	maxFramedBodyBytes = 2 * maxBodyBytes
 )
 
 // serverResponse is a complete response of a server, with its body read.
@@ -40,7 +40,7 @@
 // (FIN). A reset is no such end: a process that dies resets its connections, so the rest of the body may be
 // missing.
 func readResponseBody(res *http.Response, charge *memoryCharge) ([]byte, error) {
-	if res.ContentLength > maxResponseBodyBytes {
+	if res.ContentLength > maxBodyBytes {
 		return nil, errBodyTooLarge // before any of the body is read
 	}
 	if 0 <= res.ContentLength && res.ContentLength <= shortBodyBytes {
@@ -48,5 +48,5 @@
 		_, err := io.ReadFull(res.Body, body)
 		return body, err
 	}
-	return io.ReadAll(&bodyReader{source: res.Body, maxBytes: maxResponseBodyBytes, charge: charge})
+	return io.ReadAll(&bodyReader{source: res.Body, maxBytes: maxBodyBytes, charge: charge})
 }
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -43,10 +43,15 @@
 // writeUnavailable responds with 503: the client may retry safely, preferably after retryAfter. With 0, the
 // response has no Retry-After.
 func writeUnavailable(w http.ResponseWriter, retryAfter time.Duration) {
+	setRetryAfter(w.Header(), retryAfter)
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// setRetryAfter states when the client should retry, unless retryAfter is 0.
+func setRetryAfter(header http.Header, retryAfter time.Duration) {
 	if retryAfter > 0 {
-		w.Header().Set(headerRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
+		header.Set(headerRetryAfter, strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
-	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // reject responds to a request that is not accepted, and closes its connection: the end of that request is
@@ -76,6 +81,7 @@
 	w.Header().Set(headerConnection, "close")
 	w.Header().Set(headerContentType, "text/plain; charset=utf-8")
 	w.Header().Set(headerContentLength, strconv.Itoa(len(text)))
+	setRetryAfter(w.Header(), rejection.retryAfter)
 	w.WriteHeader(rejection.status)
 	_, _ = io.WriteString(w, text) // fails only if the client has disconnected
 }
