Soak: count a suspension with its measured duration, not the planned one

TestSidecarRecoversFromStall failed once at a load of 25 with a finding "timeout header", 493 ms where 453 ms were allowed. Cause: the goroutine that resumes the process woke up late, and the checks allow only for the planned suspension, so a delay of the test counted as one of the sidecar.

suspend measures from before SIGSTOP to after SIGCONT. SIGKILL, which may come no sooner than a time after SIGTERM, waits for the measured time as well.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -46,6 +46,7 @@
 	exited              chan struct{} // closed when the process has exited
 	clientsDone         chan struct{} // closed to stop the clients
 	eventEnds           []eventEnd    // pending ends of events that last for a time
+	sleep               func(time.Duration)
 }
 
 // eventEnd ends an event: action undoes the fault.
@@ -57,7 +58,7 @@
 // Run executes a plan with the sidecar at the path program and returns the report. It writes the sidecar's
 // configuration file into dir.
 func Run(plan Plan, program, dir string) (Report, error) {
-	r := &run{plan: plan, journal: new(journal), exited: make(chan struct{}), clientsDone: make(chan struct{})}
+	r := &run{plan: plan, journal: new(journal), exited: make(chan struct{}), clientsDone: make(chan struct{}), sleep: time.Sleep}
 	defer r.close()
 	if err := r.start(program, dir); err != nil {
 		return Report{}, fmt.Errorf("seed %d: %w", plan.Seed, err)
@@ -185,7 +186,7 @@
 				next, action, last = end.at, func() { r.eventEnds = append(r.eventEnds[:i:i], r.eventEnds[i+1:]...); end.action() }, false
 			}
 		}
-		time.Sleep(time.Until(next))
+		r.sleep(time.Until(next))
 		if last {
 			return
 		}
@@ -235,7 +236,7 @@
 	case ChangeDiscoveryAndBack:
 		back := int(r.configuredDiscovery.Load())
 		r.changeDiscovery(1 - back)
-		time.Sleep(signalDelay)
+		r.sleep(signalDelay)
 		r.changeDiscovery(back)
 	case TruncatedConfig:
 		r.truncateConfig()
@@ -273,17 +274,21 @@
 	// If this fails, SIGHUP finds the complete file.
 	_ = os.WriteFile(r.configPath, text[:truncatedConfigBytes], 0o600)
 	r.signal(syscall.SIGHUP)
-	time.Sleep(signalDelay)
+	r.sleep(signalDelay)
 	_ = r.writeConfigFor(int(r.configuredDiscovery.Load()))
 	r.signal(syscall.SIGHUP)
 }
 
-// suspend stops the process with SIGSTOP and resumes it after a time.
-func (r *run) suspend(d time.Duration) {
+// suspend stops the process with SIGSTOP and resumes it after a time. It records and returns how long the process
+// really was suspended: on a busy machine this goroutine may resume it late.
+func (r *run) suspend(d time.Duration) (suspended time.Duration) {
+	stoppedAt := time.Now()
 	r.signal(syscall.SIGSTOP)
-	time.Sleep(d)
+	r.sleep(d)
 	r.signal(syscall.SIGCONT)
-	r.journal.update(func() { r.journal.suspended += d })
+	suspended = time.Since(stoppedAt)
+	r.journal.update(func() { r.journal.suspended += suspended })
+	return suspended
 }
 
 // signal sends a signal to the process. Sending fails if the process has exited, which is no fault.
@@ -323,19 +328,21 @@
 		for _, s := range r.servers {
 			s.setMode(Hang)
 		}
-		time.Sleep(allHangLeadTime)
+		r.sleep(allHangLeadTime)
 	}
 	if r.plan.TerminateTwice {
 		r.signal(syscall.SIGHUP)
 	}
-	r.journal.update(func() { r.journal.terminatedAt = time.Now() })
+	terminatedAt := time.Now()
+	r.journal.update(func() { r.journal.terminatedAt = terminatedAt })
 	r.signal(syscall.SIGTERM)
-	kill := time.After(r.plan.minKillDelay() + r.plan.SuspendAfterTerminate)
+	var suspended time.Duration
 	if r.plan.SuspendAfterTerminate > 0 {
-		r.suspend(r.plan.SuspendAfterTerminate)
+		suspended = r.suspend(r.plan.SuspendAfterTerminate)
 	}
+	kill := time.After(time.Until(terminatedAt.Add(r.plan.minKillDelay() + suspended)))
 	if r.plan.TerminateTwice {
-		time.Sleep(signalDelay)
+		r.sleep(signalDelay)
 		r.signal(syscall.SIGHUP)
 		r.signal(syscall.SIGTERM)
 	}
