--- a/internal/soak/report.go
+++ b/internal/soak/report.go
@@ -25,13 +25,15 @@
 	Served       int
 	Attempts     int
 	LongestStall time.Duration // longest time for which the machine stalled
+	LongestDelay time.Duration // the greatest delay with which an event began
 	CPUTime      time.Duration // used by the sidecar
 	PeakUsage    string        // maximum number of descriptors and maximum memory of the sidecar
 	Log          string        // of the sidecar
 }
 
-// Void reports whether the machine stalled for so long that the run proves nothing.
-func (r *Report) Void() bool { return r.LongestStall > drainGrace }
+// Void reports whether the machine stalled for so long, or held the events up for so long, that the run proves
+// nothing.
+func (r *Report) Void() bool { return max(r.LongestStall, r.LongestDelay) > drainGrace }
 
 // String summarizes the run in one line.
 func (r *Report) String() string {
@@ -42,8 +44,8 @@
 	case len(r.Findings) > 0:
 		verdict = fmt.Sprintf("%d FINDINGS", len(r.Findings))
 	}
-	return fmt.Sprintf("seed %d: %s; %d requests, %d served, %d attempts, longest stall %d ms, %d ms of CPU time, %s",
-		r.Plan.Seed, verdict, r.Requests, r.Served, r.Attempts, r.LongestStall.Milliseconds(), r.CPUTime.Milliseconds(), r.PeakUsage)
+	return fmt.Sprintf("seed %d: %s; %d requests, %d served, %d attempts, longest stall %d ms, events up to %d ms late, %d ms of CPU time, %s",
+		r.Plan.Seed, verdict, r.Requests, r.Served, r.Attempts, r.LongestStall.Milliseconds(), r.LongestDelay.Milliseconds(), r.CPUTime.Milliseconds(), r.PeakUsage)
 }
 
 // Details returns the schedule and the findings.
@@ -57,13 +59,13 @@
 }
 
 // newReport checks a journal. Goroutines of the clients and servers may still run, so it locks the journal.
-func newReport(plan *Plan, j *journal, stall time.Duration) Report {
+func newReport(plan *Plan, j *journal, stall, delay time.Duration) Report {
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	c := checker{plan: plan, journal: j, tolerance: timingTolerance + stall + j.suspended}
 	c.checkAll()
 	report := Report{
-		Plan: *plan, Findings: c.findings, Requests: len(j.requests), Attempts: len(j.attempts), LongestStall: stall, Log: j.log,
+		Plan: *plan, Findings: c.findings, Requests: len(j.requests), Attempts: len(j.attempts), LongestStall: stall, LongestDelay: delay, Log: j.log,
 		CPUTime:   j.cpuTime,
 		PeakUsage: fmt.Sprintf("%d descriptors, %d MB", j.peakUsage.descriptors, j.peakUsage.memoryKB>>10),
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -46,6 +46,7 @@
 	exited              chan struct{} // closed when the process has exited
 	clientsDone         chan struct{} // closed to stop the clients
 	eventEnds           []eventEnd    // pending ends of events that last for a time
+	delays              delayMeter    // of the events
 	sleep               func(time.Duration)
 }
 
@@ -65,7 +66,7 @@
 	}
 	stalls := startStallMeter()
 	r.execute()
-	return newReport(&r.plan, r.journal, stalls.stop()), nil
+	return newReport(&r.plan, r.journal, stalls.stop(), r.delays.longest), nil
 }
 
 // start starts the stand-ins and the sidecar, and returns once the sidecar is ready.
@@ -187,6 +188,7 @@
 			}
 		}
 		r.sleep(time.Until(next))
+		r.delays.begin(next, time.Now())
 		if last {
 			return
 		}
@@ -236,7 +238,7 @@
 	case ChangeDiscoveryAndBack:
 		back := int(r.configuredDiscovery.Load())
 		r.changeDiscovery(1 - back)
-		r.sleep(signalDelay)
+		r.wait(signalDelay)
 		r.changeDiscovery(back)
 	case TruncatedConfig:
 		r.truncateConfig()
@@ -274,17 +276,23 @@
 	// If this fails, SIGHUP finds the complete file.
 	_ = os.WriteFile(r.configPath, text[:truncatedConfigBytes], 0o600)
 	r.signal(syscall.SIGHUP)
-	r.sleep(signalDelay)
+	r.wait(signalDelay)
 	_ = r.writeConfigFor(int(r.configuredDiscovery.Load()))
 	r.signal(syscall.SIGHUP)
 }
 
+// wait waits within an event, as planned.
+func (r *run) wait(d time.Duration) {
+	r.delays.wait(d)
+	r.sleep(d)
+}
+
 // suspend stops the process with SIGSTOP and resumes it after a time. It records and returns how long the process
 // really was suspended: on a busy machine this goroutine may resume it late.
 func (r *run) suspend(d time.Duration) (suspended time.Duration) {
 	stoppedAt := time.Now()
 	r.signal(syscall.SIGSTOP)
-	r.sleep(d)
+	r.wait(d)
 	r.signal(syscall.SIGCONT)
 	suspended = time.Since(stoppedAt)
 	r.journal.update(func() { r.journal.suspended += suspended })
@@ -328,7 +336,7 @@
 		for _, s := range r.servers {
 			s.setMode(Hang)
 		}
-		r.sleep(allHangLeadTime)
+		r.wait(allHangLeadTime)
 	}
 	if r.plan.TerminateTwice {
 		r.signal(syscall.SIGHUP)
@@ -342,7 +350,7 @@
 	}
 	kill := time.After(time.Until(terminatedAt.Add(r.plan.minKillDelay() + suspended)))
 	if r.plan.TerminateTwice {
-		r.sleep(signalDelay)
+		r.wait(signalDelay)
 		r.signal(syscall.SIGHUP)
 		r.signal(syscall.SIGTERM)
 	}
