Report an attempt that lacked memory for its response as cancelled

A long response that finds the budget exhausted, or its request answered (the loser of two attempts), ended as ConnectionLost. That counts as a failure of the server and can eject it, though the cause is the sidecar's own.

Cancelled says that the request may have run and shows nothing about the endpoint, so retries stay bound by the class.

TestResponseWithoutMemoryIsNoFaultOfItsServer failed before in both cases (ConnectionLost); -race -count=50 passed.

--- a/internal/sidecar/readresponse_test.go
+++ b/internal/sidecar/readresponse_test.go
@@ -112,3 +112,24 @@
 	second.release()
 	expect("body over the size limit", read(long+1, &memoryCharge{budget: budget}), errBodyTooLarge)
 }
+
+// A long response comes when its request has no memory left for it: others have exhausted the budget, or the
+// request has been answered. That is no fault of the server, which must not be ejected for it. The request may
+// have run.
+func TestResponseWithoutMemoryIsNoFaultOfItsServer(t *testing.T) {
+	for name, use := range map[string]func(*memoryCharge){
+		"budget exhausted": func(c *memoryCharge) { c.budget.limit = 0 },
+		"request answered": (*memoryCharge).release,
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, func(c net.Conn, _ receivedRequest) bool {
+				return respondOK(c, strings.Repeat("x", shortBodyBytes+1))
+			})
+			tr, request, done := newTestTransport(t), newTestOutboundRequest("1"), make(chan attemptResult, 1)
+			use(request.memory)
+			tr.send(s.endpoint, request, tr.clock.now()+testTimeout, 0, func(r attemptResult) { done <- r })
+			expectResult(t, wait(t, "the result", done), policy.Cancelled)
+			expectOpenConns(t, tr, 0)
+		})
+	}
+}
--- a/internal/sidecar/result.go
+++ b/internal/sidecar/result.go
@@ -58,6 +58,9 @@
 	if result, abandoned := x.abandonedResult(); abandoned {
 		return result
 	}
+	if errors.Is(err, errBudgetExhausted) {
+		return policy.Cancelled // no fault of the server
+	}
 	if !isTimeout(err) {
 		return policy.ConnectionLost
 	}
--- a/internal/sidecar/transport_test.go
+++ b/internal/sidecar/transport_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"net"
 	"net/http"
 	"testing"
@@ -26,6 +27,7 @@
 		host:   "service.internal",
 		body:   []byte("weight"),
 		header: http.Header{"X-Request-Id": {id}, "Idempotency-Key": {"k" + id}},
+		memory: &memoryCharge{budget: &memoryBudget{limit: math.MaxInt64}},
 	}
 }
 
--- a/policy/request.go
+++ b/policy/request.go
@@ -31,7 +31,7 @@
 	TimedOut              // the request was written, but no response came in time
 	ConnectFailed         // there was no connection, or the request was not written completely
 	ConnectionLost        // the request was written, but the connection ended before a complete response
-	Cancelled             // abandoned by Host.Cancel, or together with its request
+	Cancelled             // abandoned by Host.Cancel, together with its request, or for lack of memory
 	NotSent               // not written, for a reason within the sidecar and unrelated to the endpoint
 )
 
