--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -46,6 +46,8 @@
 	exited              chan struct{} // closed when the process has exited
 	clientsDone         chan struct{} // closed to stop the clients
 	eventEnds           []eventEnd    // pending ends of events that last for a time
+	delays              delayMeter    // of the events
+	sleep               func(time.Duration)
 }
 
 // eventEnd ends an event: action undoes the fault.
@@ -57,14 +59,14 @@
 // Run executes a plan with the sidecar at the path program and returns the report. It writes the sidecar's
 // configuration file into dir.
 func Run(plan Plan, program, dir string) (Report, error) {
-	r := &run{plan: plan, journal: new(journal), exited: make(chan struct{}), clientsDone: make(chan struct{})}
+	r := &run{plan: plan, journal: new(journal), exited: make(chan struct{}), clientsDone: make(chan struct{}), sleep: time.Sleep}
 	defer r.close()
 	if err := r.start(program, dir); err != nil {
 		return Report{}, fmt.Errorf("seed %d: %w", plan.Seed, err)
 	}
 	stalls := startStallMeter()
 	r.execute()
-	return newReport(&r.plan, r.journal, stalls.stop()), nil
+	return newReport(&r.plan, r.journal, stalls.stop(), r.delays.longest), nil
 }
 
 // start starts the stand-ins and the sidecar, and returns once the sidecar is ready.
@@ -185,7 +187,8 @@
 				next, action, last = end.at, func() { r.eventEnds = append(r.eventEnds[:i:i], r.eventEnds[i+1:]...); end.action() }, false
 			}
 		}
-		time.Sleep(time.Until(next))
+		r.sleep(time.Until(next))
+		r.delays.begin(next, time.Now())
 		if last {
 			return
 		}
@@ -235,7 +238,7 @@
 	case ChangeDiscoveryAndBack:
 		back := int(r.configuredDiscovery.Load())
 		r.changeDiscovery(1 - back)
-		time.Sleep(signalDelay)
+		r.wait(signalDelay)
 		r.changeDiscovery(back)
 	case TruncatedConfig:
 		r.truncateConfig()
@@ -273,17 +276,27 @@
 	// If this fails, SIGHUP finds the complete file.
 	_ = os.WriteFile(r.configPath, text[:truncatedConfigBytes], 0o600)
 	r.signal(syscall.SIGHUP)
-	time.Sleep(signalDelay)
+	r.wait(signalDelay)
 	_ = r.writeConfigFor(int(r.configuredDiscovery.Load()))
 	r.signal(syscall.SIGHUP)
 }
 
-// suspend stops the process with SIGSTOP and resumes it after a time.
-func (r *run) suspend(d time.Duration) {
+// wait waits within an event, as planned.
+func (r *run) wait(d time.Duration) {
+	r.delays.wait(d)
+	r.sleep(d)
+}
+
+// suspend stops the process with SIGSTOP and resumes it after a time. It records and returns how long the process
+// really was suspended: on a busy machine this goroutine may resume it late.
+func (r *run) suspend(d time.Duration) (suspended time.Duration) {
+	stoppedAt := time.Now()
 	r.signal(syscall.SIGSTOP)
-	time.Sleep(d)
+	r.wait(d)
 	r.signal(syscall.SIGCONT)
-	r.journal.update(func() { r.journal.suspended += d })
+	suspended = time.Since(stoppedAt)
+	r.journal.update(func() { r.journal.suspended += suspended })
+	return suspended
 }
 
 // signal sends a signal to the process. Sending fails if the process has exited, which is no fault.
@@ -323,19 +336,21 @@
 		for _, s := range r.servers {
 			s.setMode(Hang)
 		}
-		time.Sleep(allHangLeadTime)
+		r.wait(allHangLeadTime)
 	}
 	if r.plan.TerminateTwice {
 		r.signal(syscall.SIGHUP)
 	}
-	r.journal.update(func() { r.journal.terminatedAt = time.Now() })
+	terminatedAt := time.Now()
+	r.journal.update(func() { r.journal.terminatedAt = terminatedAt })
 	r.signal(syscall.SIGTERM)
-	kill := time.After(r.plan.minKillDelay() + r.plan.SuspendAfterTerminate)
+	var suspended time.Duration
 	if r.plan.SuspendAfterTerminate > 0 {
-		r.suspend(r.plan.SuspendAfterTerminate)
+		suspended = r.suspend(r.plan.SuspendAfterTerminate)
 	}
+	kill := time.After(time.Until(terminatedAt.Add(r.plan.minKillDelay() + suspended)))
 	if r.plan.TerminateTwice {
-		time.Sleep(signalDelay)
+		r.wait(signalDelay)
 		r.signal(syscall.SIGHUP)
 		r.signal(syscall.SIGTERM)
 	}
