--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -31,6 +31,11 @@
 	minServedFraction = 0.2
 	// Windows with fewer requests are not checked.
 	minWindowRequests = 20
+
+	// At least this fraction of the responses without a length that come whole must be forwarded.
+	minNoLengthForwarded = 0.5
+	// Runs with fewer of these responses are not checked.
+	minNoLengthResponses = 10
 )
 
 // checker looks for violations in the journal of a finished run.
@@ -52,6 +57,7 @@
 func (c *checker) checkAll() {
 	c.checkProcess()
 	c.checkResponses()
+	c.checkNoLength()
 	c.checkAttempts()
 	c.checkWithdrawals()
 	c.checkSlowStarts()
@@ -75,7 +81,7 @@
 		c.addFinding("descriptors", j.readyAt, "%d descriptors open, limit %d",
 			j.peakUsage.descriptors, c.plan.MaxDescriptors)
 	}
-	if j.peakUsage.memoryKB > memoryLimitMB<<10 {
+	if j.peakUsage.memoryKB > c.plan.MemoryMB<<10 {
 		c.addFinding("memory", j.readyAt, "%d KB of resident memory, above memory_mb of the configuration", j.peakUsage.memoryKB)
 	}
 }
@@ -100,7 +106,7 @@
 	}
 	for _, r := range c.journal.requests {
 		if r.status == 200 && !serverBodies[r.id][r.responseBody] {
-			c.addFinding("body", r.endedAt, "request %s got body %q, which no server sent for it", r.id, r.responseBody)
+			c.addFinding("body", r.endedAt, "request %s got body %.100q, which no server sent for it", r.id, r.responseBody)
 		}
 		if r.disconnectedAt.IsZero() {
 			c.checkAnswered(r)
@@ -108,6 +114,35 @@
 	}
 }
 
+// checkNoLength checks that enough of the responses without a length are forwarded, if their clients wait for
+// them.
+func (c *checker) checkNoLength() {
+	requests := c.requestsByID()
+	sent, forwarded := 0, 0
+	for _, a := range c.journal.attempts {
+		r := requests[a.id]
+		if !a.noLength || r == nil || !r.disconnectedAt.IsZero() {
+			continue
+		}
+		sent++
+		if r.status == 200 && r.responseBody == a.responseBody {
+			forwarded++
+		}
+	}
+	if sent >= minNoLengthResponses && float64(forwarded) < minNoLengthForwarded*float64(sent) {
+		c.addFinding("no length", c.journal.readyAt, "%d of %d whole responses without a length were forwarded", forwarded, sent)
+	}
+}
+
+// requestsByID returns the recorded requests by their ID.
+func (c *checker) requestsByID() map[string]*clientRequest {
+	requests := make(map[string]*clientRequest)
+	for _, r := range c.journal.requests {
+		requests[r.id] = r
+	}
+	return requests
+}
+
 // checkAnswered checks that a request was answered in time. A request may remain unanswered only if it was
 // sent after the process ended or was still open when SIGKILL came; addUnanswered excuses closed idle
 // connections.
@@ -156,10 +191,7 @@
 // checkAttempts checks that no request runs twice unless its class permits it, that no attempt begins after
 // its client disconnected, and that no server receives a timeout beyond the client's remaining time.
 func (c *checker) checkAttempts() {
-	requests := make(map[string]*clientRequest)
-	for _, r := range c.journal.requests {
-		requests[r.id] = r
-	}
+	requests := c.requestsByID()
 	firstRuns := make(map[string]*attempt) // the first attempt that may have run, by request
 	for _, a := range c.journal.attempts {
 		if first := firstRuns[a.id]; first != nil {
--- a/internal/soak/config.go
+++ b/internal/soak/config.go
@@ -25,8 +25,6 @@
 	serverIdleTimeout = 5 * time.Second
 	// The sidecar's timeout for connecting to a server.
 	dialTimeout = 250 * time.Millisecond
-	// The sidecar's memory limit.
-	memoryLimitMB = 96
 )
 
 // writeConfig writes the sidecar's configuration file atomically: it writes a new file and renames it.
@@ -49,7 +47,7 @@
 	}
 	text, err := json.Marshal(map[string]any{
 		"name": "soak", "listen": listen, "discovery": discovery, "seed": "5eed",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": memoryLimitMB, "sockets": p.MaxDescriptors},
+		"limits": map[string]any{"cores": 1.0, "memory_mb": p.MemoryMB, "sockets": p.MaxDescriptors},
 		"settings": map[string]any{
 			"balancers": 1, "me": 0, "discovery": mode, "period_ms": 1.0, "zone": 0, "zones": []string{"a", "b"},
 			"caps": map[string]any{"conn_idle_ms": milliseconds(serverIdleTimeout), "dial_timeout_ms": milliseconds(dialTimeout),
--- a/internal/soak/journal.go
+++ b/internal/soak/journal.go
@@ -15,6 +15,7 @@
 	timeout      time.Duration // from its X-Timeout header
 	mayHaveRun   bool          // false if the server answered that the request did not run
 	responseBody string        // body that the server sent in response; empty: none
+	noLength     bool          // the response had no length and ended with the connection
 }
 
 // clientRequest is a request as its client sent it.
@@ -118,6 +119,13 @@
 	a.responseBody = responseBody
 }
 
+// recordNoLength records that a server sends its response without a length.
+func (j *journal) recordNoLength(a *attempt) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	a.noLength = true
+}
+
 // recordNotProcessed records that a server answers that an attempt did not run.
 func (j *journal) recordNotProcessed(a *attempt) {
 	j.mu.Lock()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -21,6 +21,13 @@
 
 	// The fraction of runs in which idle clients use up the sidecar's descriptors.
 	idleFloodFraction = 0.25
+
+	// The sidecar's memory limit, and the one of plans with unusual responses: the smallest that the pages give.
+	usualMemoryMB = 96
+	smallMemoryMB = 32
+
+	// How many faults WithUnusualResponses adds for each server.
+	unusualResponseFaults = 3
 )
 
 // EventKind identifies what an Event does.
@@ -89,6 +96,7 @@
 	Servers        int           // number of servers
 	Clients        int           // number of clients that send requests
 	MaxDescriptors int           // limit on the sidecar's open descriptors
+	MemoryMB       int           // limit on the sidecar's memory, in MiB
 	IdleFlood      bool          // idle clients use up the sidecar's descriptors
 	SlowStart      bool          // the settings give servers a slow start
 	TerminateAt    time.Duration // when SIGTERM is sent, counted from the moment the sidecar is ready
@@ -113,6 +121,7 @@
 		Servers:        3 + rng.IntN(6),
 		Clients:        6 + rng.IntN(10),
 		MaxDescriptors: []int{64, 128, 256}[rng.IntN(3)],
+		MemoryMB:       usualMemoryMB,
 		IdleFlood:      rng.Float64() < idleFloodFraction,
 		SlowStart:      rng.IntN(2) == 0,
 		TerminateAt:    earliestTerminate + time.Duration(rng.Int64N(int64(latestTerminate-earliestTerminate))),
@@ -140,7 +149,7 @@
 		At:       earliestFault + time.Duration(rng.Int64N(int64(latestFault-earliestFault))),
 		Kind:     kind,
 		Server:   rng.IntN(p.Servers),
-		Mode:     ServerMode(1 + rng.IntN(int(serverModeCount)-1)),
+		Mode:     ServerMode(1 + rng.IntN(int(NoLength)-1)),
 		Duration: 300*time.Millisecond + time.Duration(rng.Int64N(int64(2*time.Second))),
 	}
 	switch kind {
@@ -152,6 +161,26 @@
 	return e
 }
 
+// WithUnusualResponses returns the plan with a small memory limit and with more faults for each server: it answers
+// with responses without a length, with endless or with long ones for a time. They have a generator of their own, so
+// that the seeds of plans without them keep their meaning.
+func (p Plan) WithUnusualResponses() Plan {
+	rng := rand.New(rand.NewPCG(p.Seed, 0x0dd))
+	p.MemoryMB = smallMemoryMB
+	p.Events = slices.Clone(p.Events)
+	for n := range unusualResponseFaults * p.Servers {
+		p.Events = append(p.Events, Event{
+			At:       earliestFault + time.Duration(rng.Int64N(int64(latestFault-earliestFault))),
+			Kind:     ServerFault,
+			Server:   n % p.Servers,
+			Mode:     NoLength + ServerMode(rng.IntN(int(serverModeCount-NoLength))),
+			Duration: time.Second + time.Duration(rng.Int64N(int64(3*time.Second))),
+		})
+	}
+	slices.SortFunc(p.Events, func(a, b Event) int { return int(a.At - b.At) })
+	return p
+}
+
 // String returns the plan as a schedule, one event per line.
 func (p Plan) String() string {
 	mode := "polled"
@@ -159,8 +188,8 @@
 		mode = "pushed"
 	}
 	var text strings.Builder
-	fmt.Fprintf(&text, "seed %d: endpoint list %s, deadline %v, dedup scope %s, dedup window %v, %d servers, %d clients, at most %d descriptors, idle client flood %v, slow start %v\n",
-		p.Seed, mode, p.Deadline, p.DedupScope, p.DedupWindow, p.Servers, p.Clients, p.MaxDescriptors, p.IdleFlood, p.SlowStart)
+	fmt.Fprintf(&text, "seed %d: endpoint list %s, deadline %v, dedup scope %s, dedup window %v, %d servers, %d clients, at most %d descriptors and %d MB, idle client flood %v, slow start %v\n",
+		p.Seed, mode, p.Deadline, p.DedupScope, p.DedupWindow, p.Servers, p.Clients, p.MaxDescriptors, p.MemoryMB, p.IdleFlood, p.SlowStart)
 	for _, e := range p.Events {
 		fmt.Fprintln(&text, e)
 	}
--- a/internal/soak/sample.go
+++ b/internal/soak/sample.go
@@ -72,7 +72,7 @@
 	healthy := 0
 	for _, s := range r.endpointList.ready() {
 		switch s.currentMode() {
-		case Healthy, DuplicateResponse, CloseIdle:
+		case Healthy, DuplicateResponse, CloseIdle, NoLength, LongResponse:
 			if !slowStarting[s.index] {
 				healthy++
 			}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -28,12 +28,19 @@
 	CloseIdle                           // closes the connection shortly after each response
 	DuplicateResponse                   // sends each response twice
 	InvalidHTTP                         // answers with bytes that are not HTTP
+
+	// The modes of WithUnusualResponses.
+	NoLength      // answers without a length and ends the connection
+	NoLengthReset // resets the connection in the middle of such a response
+	EndlessHead   // answers with short header lines without an end
+	LongResponse  // answers with a long body
 	serverModeCount
 )
 
 var modeNames = [serverModeCount]string{
 	"healthy", "hangs", "resets requests", "resets connections", "truncated header", "truncated body", "500",
 	"503 not processed", "closes idle connections", "duplicate response", "invalid HTTP",
+	"no length", "no length, reset", "endless header", "long response",
 }
 
 func (m ServerMode) String() string { return modeNames[m] }
@@ -42,8 +49,16 @@
 	// How long a server works on a request before it answers.
 	serviceTime    = 8 * time.Millisecond
 	maxRequestBody = 1 << 20 // bytes
+	// Lines of an endless header and the time after which as many follow.
+	endlessHeadLines    = 1000
+	endlessHeadInterval = 10 * time.Millisecond
+	// Bytes that LongResponse adds to a body.
+	longBodyBytes = 150_000
 )
 
+// noLengthHead is the header of a response that ends with its connection.
+const noLengthHead = "HTTP/1.1 200 OK\r\n\r\n"
+
 // server is a stand-in for one server.
 type server struct {
 	index         int // determines its zone and cell
@@ -137,6 +152,9 @@
 func (s *server) respond(c net.Conn, a *attempt) bool {
 	time.Sleep(serviceTime)
 	body := fmt.Sprintf("%s by %d, answer %d", a.id, s.index, s.responseCount.Add(1))
+	if s.currentMode() == LongResponse {
+		body += strings.Repeat(".", longBodyBytes)
+	}
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
 	switch s.currentMode() {
 	case Hang:
@@ -155,6 +173,13 @@
 	case InvalidHTTP:
 		_, _ = io.WriteString(c, "noise and more\r\n\r\n")
 		return false
+	case NoLengthReset:
+		_, _ = io.WriteString(c, noLengthHead+body[:len(body)/2])
+		reset(c)
+		return false
+	case EndlessHead:
+		s.writeEndlessHead(c)
+		return false
 	case Error500:
 		return s.write(c, "HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")
 	case NotProcessed:
@@ -165,6 +190,10 @@
 	switch s.currentMode() {
 	case DuplicateResponse:
 		return s.write(c, response+response)
+	case NoLength:
+		s.journal.recordNoLength(a)
+		_ = s.write(c, noLengthHead+body)
+		return false
 	case CloseIdle:
 		_ = s.write(c, response)
 		time.Sleep(serviceTime)
@@ -173,6 +202,19 @@
 	return s.write(c, response)
 }
 
+// writeEndlessHead writes a response header that does not end, until the sidecar closes the connection.
+func (s *server) writeEndlessHead(c net.Conn) {
+	open := s.write(c, noLengthHead[:len(noLengthHead)-len("\r\n")])
+	for n := 0; open; time.Sleep(endlessHeadInterval) {
+		var lines strings.Builder
+		for range endlessHeadLines {
+			n++
+			fmt.Fprintf(&lines, "%d:\r\n", n)
+		}
+		open = s.write(c, lines.String())
+	}
+}
+
 // write writes a response and reports whether that succeeded.
 func (s *server) write(c net.Conn, text string) bool {
 	_, err := io.WriteString(c, text)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -48,11 +48,20 @@
 
 // Random combinations of faults must not make the sidecar violate any of its guarantees. Each seed is one run
 // of about ten seconds. docs/RESULTS.md has the results of many seeds.
-func TestSoak(t *testing.T) {
+func TestSoak(t *testing.T) { runSeeds(t, NewPlan) }
+
+// Servers answer with responses without a length, whole or reset, with endless headers and with long bodies, beside
+// the other faults. A response must be forwarded if it is whole and only then, within the memory limit.
+func TestSoakOfUnusualResponses(t *testing.T) {
+	runSeeds(t, func(seed uint64) Plan { return NewPlan(seed).WithUnusualResponses() })
+}
+
+// runSeeds runs the plan of each seed that the flags name.
+func runSeeds(t *testing.T, newPlan func(seed uint64) Plan) {
 	path := buildProgram(t)
 	slots := make(chan struct{}, *maxParallel)
 	for seed := *firstSeed; seed < *firstSeed+uint64(*runCount); seed++ {
-		plan := NewPlan(seed)
+		plan := newPlan(seed)
 		t.Run(regexp.MustCompile(`seed \d+`).FindString(plan.String()), func(t *testing.T) {
 			t.Parallel()
 			slots <- struct{}{}
@@ -72,7 +81,7 @@
 		stalls = append(stalls, 40*time.Second)
 	}
 	for _, stall := range stalls {
-		base := Plan{Seed: *firstSeed, Deadline: 2 * time.Second, DedupScope: "all", DedupWindow: time.Second, Servers: 4, Clients: 10, MaxDescriptors: 128, Pushed: true}
+		base := Plan{Seed: *firstSeed, Deadline: 2 * time.Second, DedupScope: "all", DedupWindow: time.Second, Servers: 4, Clients: 10, MaxDescriptors: 128, MemoryMB: usualMemoryMB, Pushed: true}
 		underLoad, draining := base, base
 		underLoad.Events = []Event{{At: 2 * time.Second, Kind: Suspend, Duration: stall}}
 		underLoad.TerminateAt = 4*time.Second + stall
