--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -1,8 +1,6 @@
 package sidecar
 
 import (
-	"errors"
-	"io"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -11,16 +9,14 @@
 )
 
 const (
-	// Clients run on the same machine and send each request in one go. The two read timeouts leave enough time
-	// for a client that is short of CPU. A client that connects and sends nothing, or at once sends only part
-	// of its first request, is disconnected within 3 s of connecting, whether it stalls in the head or in the
-	// body.
+	// Clients run on the same machine and send each request in one go. readHeadTimeout and readBodyTimeout leave
+	// enough time for a client that is short of CPU. A client that connects and sends nothing, or at once sends
+	// only part of its first request, is disconnected within 3 s of connecting, whether it stalls in the head or
+	// in the body.
 
 	// readHeadTimeout limits reading a request's head. It also limits the wait for the first byte on a new
 	// connection.
 	readHeadTimeout = 2200 * time.Millisecond
-	// readBodyTimeout limits reading a request's body, counted from the end of its head.
-	readBodyTimeout = 2 * time.Second
 	// clientIdleTimeout is how long a client's connection may be idle before it is closed.
 	clientIdleTimeout = 2 * time.Minute
 
@@ -225,30 +221,3 @@
 	defer in.mu.Unlock()
 	delete(in.inFlightIDs, id)
 }
-
-// requestBody is the body of a request, read in full, and the charge for its memory.
-type requestBody struct {
-	bytes  []byte
-	memory *memoryCharge
-}
-
-// readBody reads a body of the announced length within readBodyTimeout, so that a client that announces more
-// than it sends does not hold memory and a connection indefinitely. io.ReadAll allocates memory only for
-// bytes that arrive, and what a long body needs is taken from memory.
-func (in *ingress) readBody(w http.ResponseWriter, r *http.Request, memory *memoryCharge) ([]byte, *rejectionError) {
-	if r.ContentLength == 0 {
-		return nil, nil
-	}
-	control := http.NewResponseController(w)
-	// SetReadDeadline fails only on a closed connection, and then the read fails too.
-	_ = control.SetReadDeadline(time.Now().Add(readBodyTimeout))
-	body, err := io.ReadAll(&bodyReader{source: r.Body, maxBytes: maxBodyBytes, charge: memory})
-	if errors.Is(err, errBudgetExhausted) {
-		return nil, rejectUntil(in.randomRetryAfter(), "too many long bodies are being read")
-	}
-	if err != nil {
-		return nil, reject(http.StatusRequestTimeout, "the body is shorter than Content-Length")
-	}
-	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
