Soak: each run gets an address of its own

Cause, from the log of one: "listen address is in use, retrying listen=127.0.50.1:33255", then "address already in use". freeAddress closed its listener before the sidecar bound the port, so two parallel runs could pick one port, and the clients of one run talked to the sidecar of the other.

addressAllocator hands out each address once, from an IP address of this process, so runs of other processes don't share one either.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -76,7 +75,7 @@
 		}
 	}
 	var err error
-	if r.address, err = freeAddress(); err != nil {
+	if r.address, err = sidecarAddresses.allocate(pickAddress); err != nil {
 		return err
 	}
 	r.configPath = filepath.Join(dir, fmt.Sprintf("soak-%d.json", r.plan.Seed))
@@ -94,16 +93,6 @@
 	return r.awaitReady()
 }
 
-// freeAddress returns a loopback address with a port on which nothing listens. Its IP address is one that the
-// system doesn't pick for other listeners or connections, so the port stays free until the sidecar binds it.
-func freeAddress() (string, error) {
-	l, err := net.Listen("tcp", "127.0.50.1:0")
-	if err != nil {
-		return "", err
-	}
-	return l.Addr().String(), l.Close()
-}
-
 // writeConfigFor writes a configuration file that names the discovery with the given index.
 func (r *run) writeConfigFor(discovery int) error {
 	return r.plan.writeConfig(r.configPath, r.address, r.discovery[discovery].address())
