Let the tests of response limits share a reader and fail, not hang, on a regression

- TestHeaderFieldLimit and TestResponseSizeLimits read with readResponseIn, as FuzzReadResponse does.
A response within a limit that was missing hung the test until its timeout; the connection now ends and the error differs.
- TestUnfinishedResponseHeadsFitIntoMemory: without the limit on fields, but with that on bytes, it passed, as the heads failed at 16 KiB and were freed.
The other cases stay.
- setProcessLimit in place of four copies of one edit.
- Soak: a stand-in reads its mode once for a response; delayMeter has the names of stallMeter; the address needs no formatting.

With the limit on fields or those on bytes taken out, these tests fail.

--- a/internal/sidecar/ingress_test.go
+++ b/internal/sidecar/ingress_test.go
@@ -33,6 +33,11 @@
 	return func(_, settings map[string]any) { settings["caps"].(map[string]any)[name] = value }
 }
 
+// setProcessLimit returns an edit of the configuration that sets a limit of the process.
+func setProcessLimit(name string, value any) func(file, settings map[string]any) {
+	return func(file, _ map[string]any) { file["limits"].(map[string]any)[name] = value }
+}
+
 // echoAfter responds like echo, but to the request with the given ID only after release is closed.
 func echoAfter(release <-chan struct{}, id string) func(net.Conn, receivedRequest) bool {
 	return func(c net.Conn, r receivedRequest) bool {
@@ -88,7 +93,7 @@
 	const memoryMB, requests = 8, 12
 	sent := strings.Repeat("0123456789", 20_000)
 	s := newStub(t, echo)
-	side := startSidecar(t, func(file, _ map[string]any) { file["limits"].(map[string]any)["memory_mb"] = memoryMB }, s.address)
+	side := startSidecar(t, setProcessLimit("memory_mb", memoryMB), s.address)
 	for n := range requests {
 		res, _ := doRequest(t, side.newRequest(t, "POST", "/entry", sent, "X-Request-ID", strconv.Itoa(n)))
 		if res.StatusCode != http.StatusOK {
@@ -180,7 +185,7 @@
 	const idleClients = 40
 	release := make(chan struct{})
 	s := newStub(t, echoAfter(release, "slow"))
-	side := startSidecar(t, func(file, _ map[string]any) { file["limits"].(map[string]any)["sockets"] = 32 }, s.address)
+	side := startSidecar(t, setProcessLimit("sockets", 32), s.address)
 	active := side.dial(t)
 	if err := side.newRequest(t, "GET", "/look", "", "X-Request-ID", "slow").Write(active); err != nil {
 		t.Fatal(err)
--- a/internal/sidecar/pipelining_test.go
+++ b/internal/sidecar/pipelining_test.go
@@ -14,7 +14,7 @@
 func TestPipelinedRequestKeepsItsConnection(t *testing.T) {
 	release := make(chan struct{})
 	s := newStub(t, echoAfter(release, "second"))
-	side := startSidecar(t, func(file, _ map[string]any) { file["limits"].(map[string]any)["sockets"] = 32 }, s.address)
+	side := startSidecar(t, setProcessLimit("sockets", 32), s.address)
 	address := strings.TrimPrefix(side.url, "http://")
 	client := sendOnNewConn(t, address, rawRequest("first")+rawRequest("second"))
 	r := bufio.NewReader(client)
--- a/internal/sidecar/readresponse_fuzz_test.go
+++ b/internal/sidecar/readresponse_fuzz_test.go
@@ -3,8 +3,6 @@
 import (
 	"bytes"
 	"maps"
-	"math"
-	"net/http"
 	"slices"
 	"testing"
 )
@@ -46,10 +44,3 @@
 		}
 	})
 }
-
-// readResponseIn reads a response that arrives in pieces of a size, after which the connection ends in order.
-func readResponseIn(wire []byte, piece int) (*serverResponse, error) {
-	c := &conn{reader: newResponseReader(&pieceReader{bytes.NewReader(wire), piece}, maxFramedBodyBytes)}
-	charge := &memoryCharge{budget: &memoryBudget{limit: math.MaxInt64}}
-	return c.readResponse(http.MethodGet, charge)
-}
--- a/internal/sidecar/readresponse_test.go
+++ b/internal/sidecar/readresponse_test.go
@@ -72,7 +72,7 @@
 				_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\n"+response)
 				return err == nil && !strings.HasPrefix(response, "Connection: close")
 			})
-			side := startSidecar(t, func(file, _ map[string]any) { file["limits"].(map[string]any)["memory_mb"] = memoryMB }, s.address)
+			side := startSidecar(t, setProcessLimit("memory_mb", memoryMB), s.address)
 			for n := range requests {
 				res, got := doRequest(t, side.newRequest(t, "POST", "/entry", "1", "X-Request-ID", fmt.Sprintf("r%d", n)))
 				if res.StatusCode != http.StatusOK || got != body {
--- a/internal/sidecar/responsereader_test.go
+++ b/internal/sidecar/responsereader_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -17,7 +18,6 @@
 // unfinishedResponse is a connection on which a response arrives up to a point, after which nothing more comes
 // until the connection is closed.
 type unfinishedResponse struct {
-	net.Conn
 	rest    *strings.Reader
 	stalled chan<- struct{} // has an item for each connection on which all has been read
 	closed  <-chan struct{}
@@ -47,24 +47,29 @@
 	const memoryMB, descriptors = 32, 256 // the smallest sidecar
 	const softLimit = memoryMB << 20 / 2
 	cfg := &Config{MemoryMB: memoryMB, MaxDescriptors: descriptors}
-	for name, line := range map[string]string{
-		"short lines":           "X-%d: 1\r\n",
-		"lines without a value": "%d:\n",
-		"long lines":            "X-%d: " + strings.Repeat("x", 1000) + "\r\n",
-		"folded lines":          "X-%d: 1\r\n 1\r\n",
+	for name, c := range map[string]struct {
+		line  string // repeated with a number
+		lines int    // after which nothing more comes
+	}{
+		"short lines":           {"X-%d: 1\r\n", 10_000},
+		"lines without a value": {"%d:\n", 20_000},
+		"long lines":            {"X-%d: " + strings.Repeat("x", 1000) + "\r\n", 100},
+		"folded lines":          {"X-%d: 1\r\n 1\r\n", 8_000},
+		"bytes at the limit":    {"%d:\n", 2_800},
+		"fields at the limit":   {"X-%d: " + strings.Repeat("x", 140) + "\r\n", maxHeaderFields},
 	} {
 		t.Run(name, func(t *testing.T) {
 			var head strings.Builder
 			head.WriteString("HTTP/1.1 200 OK\r\n")
-			for n := 0; head.Len() < 100<<10; n++ {
-				fmt.Fprintf(&head, line, n)
+			for n := range c.lines {
+				fmt.Fprintf(&head, c.line, n)
 			}
 			before := heapBytes()
 			stalled, closed, failed := make(chan struct{}), make(chan struct{}), make(chan error)
 			for range cfg.maxServerConns() {
-				c := newConn(&unfinishedResponse{rest: strings.NewReader(head.String()), stalled: stalled, closed: closed})
+				server := &unfinishedResponse{rest: strings.NewReader(head.String()), stalled: stalled, closed: closed}
 				go func() {
-					_, err := c.readResponse(http.MethodGet, nil)
+					_, err := newResponseReader(server, maxFramedBodyBytes).readHead(nil)
 					select {
 					case failed <- err:
 					case <-closed:
@@ -103,22 +108,25 @@
 			fields := "Content-Length: 8\r\n" + strings.Repeat("X: 1\r\n", c.fields-1)
 			wire := interim + "HTTP/1.1 200 OK\r\n" + fields + "\r\n" + "1\n2\n3\n4\n"
 			for _, piece := range []int{1, 2, 7, len(interim), len(wire)} {
-				r := newResponseReader(&pieceReader{strings.NewReader(wire), piece}, maxFramedBodyBytes)
-				res, err := r.readHead(nil)
+				res, err := readResponseIn([]byte(wire), piece)
 				if !errors.Is(err, c.want) {
 					t.Fatalf("in pieces of %d bytes: error %v, want %v", piece, err, c.want)
 				}
-				if c.want != nil {
-					continue
-				}
-				if body, err := readResponseBody(res, nil); err != nil || string(body) != "1\n2\n3\n4\n" {
-					t.Fatalf("in pieces of %d bytes: body %q, error %v, want the whole body", piece, body, err)
+				if err == nil && string(res.body) != "1\n2\n3\n4\n" {
+					t.Fatalf("in pieces of %d bytes: body %q, want the whole body", piece, res.body)
 				}
 			}
 		})
 	}
 }
 
+// readResponseIn reads a response that arrives in pieces of a size, after which the connection ends in order.
+func readResponseIn(wire []byte, piece int) (*serverResponse, error) {
+	c := &conn{reader: newResponseReader(&pieceReader{bytes.NewReader(wire), piece}, maxFramedBodyBytes)}
+	charge := &memoryCharge{budget: &memoryBudget{limit: math.MaxInt64}}
+	return c.readResponse(http.MethodGet, charge)
+}
+
 // pieceReader reads at most size bytes at once.
 type pieceReader struct {
 	io.Reader
@@ -133,7 +141,6 @@
 	ok := "HTTP/1.1 200 OK\r\n"
 	chunk := "1;extension\r\n1\r\n"
 	tooLong := strings.Repeat("x", maxBodyBytes+1)
-	budget := &memoryBudget{limit: math.MaxInt64}
 	for name, c := range map[string]struct {
 		wire string
 		want error
@@ -146,8 +153,7 @@
 		"announced body":    {ok + fmt.Sprintf("Content-Length: %d\r\n\r\n", len(tooLong)), errBodyTooLarge},
 	} {
 		t.Run(name, func(t *testing.T) {
-			server := newConn(&unfinishedResponse{rest: strings.NewReader(c.wire)})
-			if _, err := server.readResponse(http.MethodGet, &memoryCharge{budget: budget}); !errors.Is(err, c.want) {
+			if _, err := readResponseIn([]byte(c.wire), len(c.wire)); !errors.Is(err, c.want) {
 				t.Errorf("error %v, want %v", err, c.want)
 			}
 		})
--- a/internal/soak/address.go
+++ b/internal/soak/address.go
@@ -1,7 +1,6 @@
 package soak
 
 import (
-	"fmt"
 	"net"
 	"os"
 	"sync"
@@ -38,7 +37,7 @@
 func pickAddress() (string, error) {
 	pid := os.Getpid()
 	ip := net.IPv4(127, byte(64|pid>>16&63), byte(pid>>8), byte(pid))
-	l, err := net.Listen("tcp", fmt.Sprintf("%s:0", ip))
+	l, err := net.ListenTCP("tcp", &net.TCPAddr{IP: ip})
 	if err != nil {
 		return "", err
 	}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -22,7 +22,7 @@
 	// The fraction of runs in which idle clients use up the sidecar's descriptors.
 	idleFloodFraction = 0.25
 
-	// The sidecar's memory limit, and the one of plans with unusual responses: the smallest that the pages give.
+	// The sidecar's memory limit, and the one of plans with unusual responses: the smallest that a sidecar gets.
 	usualMemoryMB = 96
 	smallMemoryMB = 32
 
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -55,7 +55,7 @@
 	}
 	stalls := startStallMeter()
 	r.execute()
-	return newReport(&r.plan, r.journal, stalls.stop(), r.delays.longest), nil
+	return newReport(&r.plan, r.journal, stalls.stop(), r.delays.max), nil
 }
 
 // start starts the stand-ins and the sidecar, and returns once the sidecar is ready.
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -152,11 +152,12 @@
 func (s *server) respond(c net.Conn, a *attempt) bool {
 	time.Sleep(serviceTime)
 	body := fmt.Sprintf("%s by %d, answer %d", a.id, s.index, s.responseCount.Add(1))
-	if s.currentMode() == LongResponse {
+	mode := s.currentMode()
+	if mode == LongResponse {
 		body += strings.Repeat(".", longBodyBytes)
 	}
 	response := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
-	switch s.currentMode() {
+	switch mode {
 	case Hang:
 		_, _ = io.Copy(io.Discard, c) // until the sidecar closes the connection
 		return false
@@ -187,7 +188,7 @@
 		return s.write(c, "HTTP/1.1 503 Full\r\nX-Not-Processed: 1\r\nContent-Length: 0\r\n\r\n")
 	}
 	s.journal.recordResponse(a, body)
-	switch s.currentMode() {
+	switch mode {
 	case DuplicateResponse:
 		return s.write(c, response+response)
 	case NoLength:
