Review case 7: a borrowed request ID behind another request runs a print-order twice

Seen: a bad client writes two requests at once, the second with the ID of another client's open print-order. It is forwarded and served with 200 once that print-order has been answered, so a print-order runs twice under one ID.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -36,6 +36,7 @@
 // cases holds the cases by name.
 var cases = map[string]reviewCase{
 	"stalled-crowd": stalledCrowd,
+	"borrowed-id":   borrowedID,
 }
 
 func main() {
