--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -35,8 +35,9 @@
 
 // cases holds the cases by name.
 var cases = map[string]reviewCase{
-	"stalled-crowd": stalledCrowd,
-	"borrowed-id":   borrowedID,
+	"stalled-crowd":  stalledCrowd,
+	"borrowed-id":    borrowedID,
+	"pipeline-clock": pipelineClock,
 }
 
 func main() {
