--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -38,6 +38,7 @@
 	"stalled-crowd":  stalledCrowd,
 	"borrowed-id":    borrowedID,
 	"pipeline-clock": pipelineClock,
+	"pipeline-size":  pipelineSize,
 }
 
 func main() {
