Review case 10: calls to a slow discovery are ended before they can be answered

Seen: where the list is pushed and the drain grace is 500 ms, a call for the list lives for 1.5 s. A discovery that answers after 1.8 s is never heard, and a map server that drains gets its full share of requests as long as that lasts.

--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -39,6 +39,7 @@
 	"borrowed-id":    borrowedID,
 	"pipeline-clock": pipelineClock,
 	"pipeline-size":  pipelineSize,
+	"slow-discovery": slowDiscovery,
 }
 
 func main() {
