--- a/review/harness2/case_borrowedid.go
+++ b/review/harness2/case_borrowedid.go
@@ -11,7 +11,7 @@
 func borrowedID(t *testbed) error {
 	const (
 		work          = 100 * time.Millisecond
-		lead          = 20 * time.Millisecond // from the usual client's request to those of the bad client
+		lead          = 50 * time.Millisecond // from the usual client's request to those of the bad client
 		timeout       = 2500 * time.Millisecond
 		rounds        = 5
 		printBodySize = 212 // bytes
--- a/review/harness2/config.go
+++ b/review/harness2/config.go
@@ -13,10 +13,34 @@
 	sockets   int
 	discovery string        // "ask" or "push"
 	grace     time.Duration // within which sends to a draining map server must stop
+	classes   []classConfig
+	// crossZoneCost is the price of an attempt in another zone, relative to a worth of 1.
+	crossZoneCost float64
+}
+
+// classConfig holds the settings of a class.
+type classConfig struct {
+	name      string
+	semantics string  // "free", "guarded" or "single_shot"
+	scope     string  // in which map servers drop repeats of a guarded request
+	aimMS     float64 // milliseconds
+	limitMS   float64 // a client's wait over all tries, in milliseconds
+	windowMS  float64 // in which repeats are dropped, in milliseconds
+	worth     float64
 }
 
 // smallDeployment is the configuration of most cases.
-var smallDeployment = sidecarConfig{memoryMB: 192, sockets: 1024, discovery: "ask", grace: time.Second}
+var smallDeployment = sidecarConfig{
+	memoryMB: 192, sockets: 1024, discovery: "ask", grace: time.Second,
+	classes: []classConfig{
+		{classMapView, "free", "all", 2000, 6000, 5000, 1},
+		{classPisteUpdate, "guarded", "all", 2000, 6000, 6000, 8},
+		{classPrintOrder, "single_shot", "all", 2500, 6000, 5000, 8},
+	},
+}
+
+// zoneNames are the zones in the settings. The sidecar is in the first.
+var zoneNames = []string{"dakar-ouest", "thies-nord"}
 
 // Names in the settings.
 const (
@@ -28,18 +52,20 @@
 
 // write writes the configuration file of the sidecar of a testbed.
 func (c sidecarConfig) write(path string, t *testbed) error {
-	class := func(name, semantics string, aimMS, worth float64) map[string]any {
-		return map[string]any{
-			"name": name, "semantics": semantics, "dedup_scope": "all", "aim_ms": aimMS, "hard_limit_ms": 6000.0,
-			"late_share": 0.0, "stream": false, "window_ms": 6000.0, "worth": worth,
-		}
+	var classes []any
+	for _, class := range c.classes {
+		classes = append(classes, map[string]any{
+			"name": class.name, "semantics": class.semantics, "dedup_scope": class.scope, "aim_ms": class.aimMS,
+			"hard_limit_ms": class.limitMS, "late_share": 0.0, "stream": false, "window_ms": class.windowMS,
+			"worth": class.worth,
+		})
 	}
 	text, err := json.Marshal(map[string]any{
 		"name": "n1", "listen": t.address, "discovery": t.discovery.address(), "seed": "8c1f30d27a5be964",
 		"limits": map[string]any{"cores": 1.0, "memory_mb": c.memoryMB, "sockets": c.sockets},
 		"known":  json.RawMessage(t.discovery.fullList()),
 		"settings": map[string]any{
-			"balancers": 2, "me": 1, "tier": 0, "zone": 0, "zones": []string{"dakar-ouest", "thies-nord"},
+			"balancers": 2, "me": 1, "tier": 0, "zone": 0, "zones": zoneNames,
 			"layers": []string{"map-servers"}, "kinds": []string{"std-1", "slow-1"}, "kind_of_service": "mesh",
 			"period_ms": 5.0, "discovery": c.discovery, "weights": "nominal", "worth_by": "request",
 			"over_share_worth": 0.1,
@@ -48,11 +74,8 @@
 				"max_open": 20000, "max_retry_after_ms": 2000.0, "may_cancel": true, "most_tries": 6, "peers": false,
 				"probes": false, "retry_after": true, "second_copies": true, "streams_per_conn": 1,
 			},
-			"classes": []any{
-				class(classMapView, "free", 2000, 1),
-				class(classPisteUpdate, "guarded", 2000, 8),
-				class(classPrintOrder, "single_shot", 2500, 8),
-			},
+			"charges":       map[string]any{"cross_zone": c.crossZoneCost},
+			"classes":       classes,
 			"client_habits": map[string]any{"marks_retry": true},
 			"orgs": []any{
 				map[string]any{"name": tenantName, "quota_per_s": 21.0, "share": 0.42},
--- a/review/harness2/discovery.go
+++ b/review/harness2/discovery.go
@@ -45,7 +45,7 @@
 	for _, s := range servers {
 		d.instances = append(d.instances, instance{
 			id: fmt.Sprintf("s-%08x", 0x5be2a07c+s.index), address: s.listener.Addr().String(),
-			zone: []string{"dakar-ouest", "thies-nord"}[s.index%2], cell: s.index % 3, lifecycle: "ready",
+			zone: zoneNames[s.index%2], cell: s.index % 3, lifecycle: "ready",
 			version: firstVersion,
 		})
 	}
