--- a/review/harness2/main.go
+++ b/review/harness2/main.go
@@ -35,10 +35,10 @@
 
 // cases holds the cases by name.
 var cases = map[string]reviewCase{
-	"late-copy":      lateCopy,
 	"stalled-crowd":  stalledCrowd,
 	"borrowed-id":    borrowedID,
 	"pipeline-clock": pipelineClock,
+	"pipeline-size":  pipelineSize,
 	"slow-discovery": slowDiscovery,
 }
 
