Evict clients that stall in a request at the limit; count its time from its first byte

Cause: the acceptor closes only idle and closing connections at its limit, and one byte of a request makes a connection neither. net/http applies the idle timeout (2 minutes) to the first three bytes of a request on a used connection, and the limits of head and body began anew with each phase (up to 4.2 s). A goroutine dump during the case: 128 goroutines at Peek(4) in net/http's serve, Accept in waitForCapacity. So neither the event loop nor the descriptors were short.

Change: a connection with an incomplete request is in a state of its own (receiving.go). Its time limits count from the first byte of the request. At the limit, if no idle connection may be closed, a client that sent nothing for 0.25 s, or has been sending one request for 1 s, is evicted with 503 and Retry-After; nothing of its request is processed. Connections with a request in flight are not touched. The counters clients.evicted_idle and clients.evicted_partial show both kinds of eviction.

TestRequestBoundary also checks what consume now reports.

--- a/internal/sidecar/acceptor.go
+++ b/internal/sidecar/acceptor.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/list"
+	"log/slog"
 	"net"
 	"net/http"
 	"sync"
@@ -18,9 +19,9 @@
 // files".
 //
 // At the limit the acceptor closes a connection to admit a new one: first one that is already being closed,
-// otherwise the one that has been idle longest. While every connection has a request in flight, new ones
-// wait. Below the limit it closes no connection, because a close may coincide with a request that the client
-// is sending.
+// otherwise the one that has been idle longest, otherwise one whose client has stalled in the middle of a
+// request. While every connection has a request in flight, new ones wait. Below the limit it closes no
+// connection, because a close may coincide with a request that the client is sending.
 //
 // net/http's Serve calls Accept in a single goroutine, and only Accept calls waitForCapacity, makeCapacity
 // and add. The other methods are also called from the goroutines of connections, of their close timers and of
@@ -30,11 +31,18 @@
 	maxConns   int
 	closeDelay time.Duration // see clientConn.Close
 
-	mu           sync.Mutex // also guards the state of each clientConn
-	openConns    int
-	idleConns    list.List     // of *clientConn without a request in flight, longest idle first
-	closingConns list.List     // of *clientConn whose sending side is closed, oldest first
-	allClosed    chan struct{} // closed once no connection is open; nil before drained is called
+	receiveLimits receiveLimits
+	// randomRetryAfter returns the Retry-After of the response to an evicted client.
+	randomRetryAfter func() time.Duration
+
+	mu             sync.Mutex // also guards the state of each clientConn
+	openConns      int
+	idleConns      list.List     // of *clientConn that wait for a request's first byte, longest idle first
+	receivingConns list.List     // of *clientConn with an incomplete request
+	closingConns   list.List     // of *clientConn whose sending side is closed, oldest first
+	allClosed      chan struct{} // closed once no connection is open; nil before drained is called
+	evictedIdle    int           // idle connections closed at the limit since the start
+	evictedPartial int           // connections evicted with an incomplete request since the start
 
 	capacityFreed chan struct{} // has an item when a connection may have been closed or become idle
 	closed        chan struct{} // closed by Close
@@ -48,6 +56,9 @@
 		closeDelay:    closeDelay,
 		capacityFreed: make(chan struct{}, 1),
 		closed:        make(chan struct{}),
+
+		receiveLimits:    receiveLimits{head: receiveHeadTimeout, request: receiveTimeout},
+		randomRetryAfter: func() time.Duration { return 0 },
 	}
 }
 
@@ -81,8 +92,7 @@
 }
 
 // makeCapacity reports whether one more connection may be open, closing another connection if necessary. If
-// none may be closed yet, it returns the time to wait before the next try: until the longest idle connection
-// may be closed, or minClientIdle if none is idle.
+// not, it returns the time to wait before the next try, unless capacityFreed has an item earlier.
 func (a *acceptor) makeCapacity() (retryAfter time.Duration, ok bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
@@ -90,22 +100,34 @@
 		return 0, true
 	}
 	if next := a.closingConns.Front(); next != nil {
-		c := next.Value.(*clientConn)
-		a.release(c)
-		c.Conn.Close()
+		a.closeForCapacity(next.Value.(*clientConn))
 		return 0, true
 	}
-	longestIdle := a.idleConns.Front()
-	if longestIdle == nil {
-		return minClientIdle, false
+	retryAfter = minClientIdle
+	if longestIdle := a.idleConns.Front(); longestIdle != nil {
+		c := longestIdle.Value.(*clientConn)
+		if retryAfter = minClientIdle - time.Since(c.idleSince); retryAfter <= 0 {
+			a.evictedIdle++
+			a.closeForCapacity(c)
+			return 0, true
+		}
 	}
-	c := longestIdle.Value.(*clientConn)
-	if retryAfter = minClientIdle - time.Since(c.idleSince); retryAfter > 0 {
-		return retryAfter, false
+	if c, at := a.nextEvictable(); c != nil {
+		wait := time.Until(at)
+		if wait <= 0 {
+			a.evictedPartial++
+			c.evict() // its goroutine closes it
+			return minClientIdle, false
+		}
+		retryAfter = min(retryAfter, wait)
 	}
+	return retryAfter, false
+}
+
+// closeForCapacity closes a connection at once to admit another one. The caller holds the lock.
+func (a *acceptor) closeForCapacity(c *clientConn) {
 	a.release(c)
 	c.Conn.Close()
-	return 0, true
 }
 
 // add registers a new connection. It counts as idle until its first byte is read.
@@ -130,6 +152,7 @@
 		a.notifyAllClosed()
 	}
 	a.markActive(c)
+	c.stopReceiving()
 	if c.closingElement != nil {
 		a.closingConns.Remove(c.closingElement)
 		c.closingElement = nil
@@ -151,6 +174,7 @@
 	defer a.mu.Unlock()
 	if !c.closed && c.closingElement == nil {
 		a.markActive(c)
+		c.stopReceiving()
 		c.closingElement = a.closingConns.PushBack(c)
 		a.notifyCapacityFreed()
 	}
@@ -164,7 +188,8 @@
 	}
 }
 
-// markIdle records that a connection has no request in flight any more. The caller holds the lock.
+// markIdle records that a connection has no request in flight any more, and that no part of the next one has
+// been read. The caller holds the lock.
 func (a *acceptor) markIdle(c *clientConn) {
 	if c.idleElement == nil {
 		c.idleSince = time.Now()
@@ -210,20 +235,38 @@
 // flight.
 func (a *acceptor) connStateChanged(raw net.Conn, state http.ConnState) {
 	c, ok := raw.(*clientConn)
-	if !ok {
+	if !ok || state != http.StateIdle {
 		return
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	switch {
-	case c.closed:
-	case state == http.StateActive:
-		a.markActive(c)
-	case state == http.StateIdle:
+	if c.closed {
+		return
+	}
+	c.receiving.headRead = false
+	if c.boundary.inHead() { // net/http's background read has returned the first byte of the next request
+		now := time.Now()
+		c.receiving.startedAt = now
+		c.keepReceiving(now)
+	} else {
 		a.markIdle(c)
 	}
 }
 
+// counters returns the counters for the log. It may be called on a nil acceptor.
+func (a *acceptor) counters() slog.Value {
+	if a == nil {
+		a = new(acceptor)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slog.GroupValue(
+		slog.Int("open_connections", a.openConns),
+		slog.Int("evicted_idle", a.evictedIdle),
+		slog.Int("evicted_partial", a.evictedPartial),
+	)
+}
+
 // Close closes the listener and ends an Accept that is waiting.
 func (a *acceptor) Close() error {
 	a.closeOnce.Do(func() { close(a.closed) })
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -36,11 +36,15 @@
 type clientConn struct {
 	net.Conn
 	acceptor     *acceptor
-	idleElement  *list.Element // in acceptor.idleConns; nil: has a request in flight, or is closing or closed
+	idleElement  *list.Element // in acceptor.idleConns; nil: not idle
 	idleSince    time.Time     // when it last became idle
 	closed       bool          // released by the acceptor
 	closeDelayed bool          // delayClose was called: the client may still be sending, its last response unread
 
+	receiving    receiving
+	evicted      bool      // evict was called
+	httpDeadline time.Time // read deadline that net/http has set; zero: none
+
 	closingElement *list.Element // in acceptor.closingConns; nil: not half-closed by Close, or already closed
 
 	httpReading        bool           // net/http is in Read
@@ -55,9 +59,9 @@
 
 // Read is called only by net/http.
 //
-// The acceptor closes a connection only while it is idle. If that close coincides with the first bytes of a
-// request, Read drops them so that the request is not processed: to the client it looks as if the connection
-// was closed before the request was read.
+// The acceptor may close a connection that is idle, and evict one whose request is incomplete. If that
+// coincides with further bytes of the request, Read drops them so that the request is not processed: to the
+// client it looks as if the connection was closed before the request was read, or it gets 503.
 func (c *clientConn) Read(p []byte) (int, error) {
 	n := c.beginRead(p)
 	var err error
@@ -65,27 +69,40 @@
 	if fromSocket {
 		n, err = c.Conn.Read(p)
 	}
+	n, err = c.finishRead(p, n, fromSocket, err)
+	if errors.Is(err, errEvicted) {
+		return 0, c.endEvicted()
+	}
+	return n, err
+}
+
+// finishRead records what a Read of p has read: n bytes, from the socket or from buffered. It returns the result
+// of that Read.
+func (c *clientConn) finishRead(p []byte, n int, fromSocket bool, err error) (int, error) {
 	c.acceptor.mu.Lock()
 	defer c.acceptor.mu.Unlock()
 	c.httpReading = false
+	now := time.Now()
 	if fromSocket {
-		c.bufferedAt = time.Now()
-	}
-	if n == 0 {
-		return n, err
+		c.bufferedAt = now
 	}
-	if c.closed {
+	switch {
+	case c.evicted:
+		return 0, errEvicted
+	case n == 0:
+		return 0, err
+	case c.closed:
 		return 0, net.ErrClosed
 	}
-	consumed, headErr := c.boundary.consume(p[:n])
+	consumed, complete, headErr := c.boundary.consume(p[:n])
 	if headErr != nil {
 		return 0, headErr // net/http responds with 400 and closes the connection
 	}
+	c.receivedBytes(now, complete)
 	if consumed < n {
 		c.buffered = append(bytes.Clone(p[consumed:n]), c.buffered...)
 		n = consumed
 	}
-	c.acceptor.markActive(c)
 	c.arrivedAt = c.bufferedAt
 	c.backgroundByteRead = len(p) == 1
 	c.notifyMonitor()
@@ -100,15 +117,21 @@
 	return c.arrivedAt
 }
 
-// expectBody sets the length of a request's body, before the body is read. A negative length means that it is
-// not known.
+// expectBody records that the head of a request has been read, and sets the length of its body, before the body
+// is read. A negative length means that it is not known.
 func (c *clientConn) expectBody(length int64) {
 	c.acceptor.mu.Lock()
 	defer c.acceptor.mu.Unlock()
+	c.receiving.headRead = true
 	if length < 0 {
 		length = math.MaxInt64 // such a request is rejected, and its connection closed
 	}
 	c.boundary.expectBody(length)
+	if length == 0 {
+		c.stopReceiving()
+	} else {
+		c.keepReceiving(time.Now())
+	}
 }
 
 // hasNextRequest reports whether bytes of the client have arrived after the current request. It must not be
@@ -131,6 +154,9 @@
 		c.acceptor.mu.Lock()
 	}
 	c.httpReading = true
+	if c.receiving.element != nil {
+		_ = c.applyReadDeadline() // fails only on a closed connection, as the read then does
+	}
 	n := copy(p, c.buffered)
 	c.buffered = c.buffered[n:]
 	if len(c.buffered) == 0 {
--- a/internal/sidecar/clientmonitor.go
+++ b/internal/sidecar/clientmonitor.go
@@ -132,11 +132,11 @@
 	reading := m.reading
 	m.conn.acceptor.mu.Unlock()
 	if reading {
-		_ = m.conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection, as the read then does
+		_ = m.conn.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection, as the read then does
 	}
 	<-m.ended
 	if reading {
-		_ = m.conn.SetReadDeadline(time.Time{})
+		_ = m.conn.Conn.SetReadDeadline(time.Time{})
 	}
 }
 
--- a/internal/sidecar/counters_test.go
+++ b/internal/sidecar/counters_test.go
@@ -18,6 +18,7 @@
 		"policy.round_robin_sends=", "policy.diverted_sends=", "policy.concurrency_limited=", "policy.shed=",
 		"policy.cross_zone_sends=", "policy.retries=", "policy.late_rejected=", "policy.queued=", "policy.gossip_sent=",
 		"policy.gossip_received=", "policy.gossip_dropped=", "policy.rejected=", "policy.failed=",
+		"clients.open_connections=", "clients.evicted_idle=", "clients.evicted_partial=",
 		"transport.open_connections=", "transport.dialed_connections=", "transport.stale_connections=",
 		"gossip.sent=", "gossip.lost=", "gossip.received=", "gossip.unknown_sender=", "gossip.malformed=",
 	} {
--- a/internal/sidecar/eventloop.go
+++ b/internal/sidecar/eventloop.go
@@ -31,6 +31,7 @@
 	transport      *transport
 	watchEndpoints func()           // asks the discovery client to poll the endpoint list; must not block
 	peers          *gossipTransport // broadcasts gossip to the other sidecars; nil: no peers or no gossip socket
+	clients        *acceptor        // its counters are logged; nil in tests without clients
 	maxAttempts    int              // limit on the attempts of one request
 
 	lastID atomic.Uint64                // id of the request submitted last
@@ -135,11 +136,12 @@
 	slog.LogAttrs(context.Background(), slog.LevelInfo, "counters", l.counters()...)
 }
 
-// counters returns the counters of the Balancer, the transport and gossip. Programs outside this one depend
+// counters returns the counters of the Balancer, the client connections, the transport and gossip. Programs outside this one depend
 // on the keys: see docs/ARCHITECTURE.md.
 func (l *eventLoop) counters() []slog.Attr {
 	return []slog.Attr{
 		policyCounters(l.balancer.Counters()),
+		slog.Any("clients", l.clients.counters()),
 		slog.Any("transport", l.transport.counters()),
 		slog.Any("gossip", l.peers.counters()),
 	}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -43,6 +43,7 @@
 	drainDeadline     atomic.Int64 // time of the clock by which responses must be written; 0: not draining
 
 	longBodies          *memoryBudget // of the requests in flight and of the responses to them
+	bodyTimeout         time.Duration // how long to read a request's body
 	rejectedBodyTimeout time.Duration // how long to read the rest of a rejected request
 
 	mu          sync.Mutex
@@ -53,13 +54,15 @@
 	return &ingress{
 		cfg: cfg, clock: c, loop: l,
 		longBodies:          &memoryBudget{limit: cfg.maxTotalBodyBytes()},
+		bodyTimeout:         readBodyTimeout,
 		rejectedBodyTimeout: rejectedBodyTimeout,
 		inFlightIDs:         make(map[string]bool),
 	}
 }
 
-// server returns the HTTP server for the application. The caller starts it and shuts it down.
+// server returns the HTTP server for the application on an acceptor. The caller starts it and shuts it down.
 func (in *ingress) server(a *acceptor) *http.Server {
+	a.randomRetryAfter = in.randomRetryAfter
 	return &http.Server{
 		Handler:           in,
 		ReadHeaderTimeout: readHeadTimeout,
--- /dev/null
+++ b/internal/sidecar/receiving.go
@@ -0,0 +1,176 @@
+package sidecar
+
+import (
+	"container/list"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Time limits of a request that is being received. They count from its first byte, and net/http's own limits
+// apply besides: those begin anew with each part of a request, and for its first three bytes there is only
+// clientIdleTimeout.
+const (
+	// receiveHeadTimeout limits receiving a request's head.
+	receiveHeadTimeout = readHeadTimeout
+	// receiveTimeout limits receiving a whole request. A client that stalls in one must be disconnected, or have
+	// its error, within 3 s.
+	receiveTimeout = 2800 * time.Millisecond
+)
+
+// A client whose request is incomplete may have to make room for a new connection at the limit. It is long
+// past the time in which a client on the same machine writes a request.
+const (
+	// minClientStall is how long such a client must have sent nothing.
+	minClientStall = 250 * time.Millisecond
+	// maxReceiveAtLimit is the time after which it may be evicted although it still sends.
+	maxReceiveAtLimit = time.Second
+)
+
+// evictedResponseTimeout limits writing the response to a client that is evicted.
+const evictedResponseTimeout = 100 * time.Millisecond
+
+// errEvicted is the error of a Read on a connection that was evicted while its request was incomplete.
+var errEvicted = errors.New("connection evicted while its request was incomplete")
+
+// receiveLimits are the time limits of receiving a request, from its first byte.
+type receiveLimits struct {
+	head    time.Duration
+	request time.Duration
+}
+
+// receiving is the state of a request of which only a part has arrived. It is guarded by the acceptor's lock.
+type receiving struct {
+	element    *list.Element // in acceptor.receivingConns; nil: no request is being received
+	startedAt  time.Time     // when its first byte was read
+	progressAt time.Time     // when its latest bytes were read
+	headRead   bool          // net/http has read its head and called the handler
+}
+
+// deadline returns the time by which the next bytes of the request must arrive.
+func (r *receiving) deadline(limits receiveLimits) time.Time {
+	if r.headRead {
+		return r.startedAt.Add(limits.request)
+	}
+	return r.startedAt.Add(limits.head)
+}
+
+// evictableAt returns the time from which the connection may be closed to admit another one.
+func (r *receiving) evictableAt() time.Time {
+	return earliest(r.progressAt.Add(minClientStall), r.startedAt.Add(maxReceiveAtLimit))
+}
+
+// earliest returns the earlier of two times, of which the zero time means none.
+func earliest(a, b time.Time) time.Time {
+	if a.IsZero() || !b.IsZero() && b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// receivedBytes records that net/http has read bytes from the connection, and whether a request's head or body
+// is complete with them. The caller holds the acceptor's lock.
+func (c *clientConn) receivedBytes(now time.Time, complete bool) {
+	continued := c.receiving.element != nil
+	if !continued && c.receiving.headRead {
+		return // the first byte of the request behind the one in flight
+	}
+	c.acceptor.markActive(c)
+	if !continued {
+		c.receiving.startedAt = now
+	}
+	if complete {
+		c.stopReceiving()
+	} else {
+		c.keepReceiving(now)
+	}
+}
+
+// keepReceiving records that a part of a request has arrived and more is to come. The caller holds the
+// acceptor's lock.
+func (c *clientConn) keepReceiving(now time.Time) {
+	c.receiving.progressAt = now
+	if c.receiving.element == nil && !c.closed && c.closingElement == nil {
+		c.receiving.element = c.acceptor.receivingConns.PushBack(c)
+		c.acceptor.notifyCapacityFreed() // it may be the next to be evicted
+	}
+}
+
+// stopReceiving records that a request's head or body is complete, or that its connection is released. From
+// then on only net/http's deadline applies. The caller holds the acceptor's lock.
+func (c *clientConn) stopReceiving() {
+	if c.receiving.element == nil {
+		return
+	}
+	c.acceptor.receivingConns.Remove(c.receiving.element)
+	c.receiving.element = nil
+	if !c.evicted {
+		_ = c.Conn.SetReadDeadline(c.httpDeadline) // fails only on a closed connection
+	}
+}
+
+// SetReadDeadline is called only by net/http. A request that is being received has a deadline of its own, and
+// the earlier of the two applies.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.acceptor.mu.Lock()
+	defer c.acceptor.mu.Unlock()
+	c.httpDeadline = t
+	return c.applyReadDeadline()
+}
+
+// applyReadDeadline sets the deadline of the socket. The caller holds the acceptor's lock.
+func (c *clientConn) applyReadDeadline() error {
+	if c.evicted {
+		return nil // keep the deadline in the past
+	}
+	deadline := c.httpDeadline
+	if c.receiving.element != nil {
+		deadline = earliest(deadline, c.receiving.deadline(c.acceptor.receiveLimits))
+	}
+	return c.Conn.SetReadDeadline(deadline)
+}
+
+// evict ends the reception of an incomplete request: its Read fails with errEvicted, after which the
+// connection is closed. The caller holds the acceptor's lock.
+func (c *clientConn) evict() {
+	c.evicted = true
+	c.closeDelayed = true
+	c.stopReceiving()
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection, as the read then does
+}
+
+// endEvicted ends a Read on an evicted connection with the error that it returns. Once the handler has been
+// called, that is errEvicted, and the handler responds. Before that, endEvicted itself responds: the request has
+// not been forwarded, so the client may retry it. For io.EOF net/http writes no response of its own.
+func (c *clientConn) endEvicted() error {
+	if c.headRead() {
+		return errEvicted
+	}
+	_ = c.Conn.SetWriteDeadline(time.Now().Add(evictedResponseTimeout))
+	response := http.Response{
+		StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: make(http.Header),
+	}
+	setRetryAfter(response.Header, c.acceptor.randomRetryAfter())
+	_ = response.Write(c.Conn) // fails only if the client has disconnected or does not read
+	return io.EOF
+}
+
+// headRead reports whether the handler has been called for the request that is being received or in flight.
+func (c *clientConn) headRead() bool {
+	c.acceptor.mu.Lock()
+	defer c.acceptor.mu.Unlock()
+	return c.receiving.headRead
+}
+
+// nextEvictable returns the connection with an incomplete request that may be evicted first, and the time from
+// which it may be. It returns nil if no request is being received. The caller holds the lock.
+func (a *acceptor) nextEvictable() (next *clientConn, at time.Time) {
+	for element := a.receivingConns.Front(); element != nil; element = element.Next() {
+		c := element.Value.(*clientConn)
+		if t := c.receiving.evictableAt(); next == nil || t.Before(at) {
+			next, at = c, t
+		}
+	}
+	return next, at
+}
--- a/internal/sidecar/requestboundary.go
+++ b/internal/sidecar/requestboundary.go
@@ -14,14 +14,16 @@
 // expectBody sets the length of the body that follows the head that ended last.
 func (b *requestBoundary) expectBody(length int64) { b.bodyRemaining = length }
 
-// consume returns how many bytes of p belong to the current request, and advances past them. Without an error
-// it returns at least 1 unless p is empty.
-func (b *requestBoundary) consume(p []byte) (int, error) {
+// inHead reports whether a part of a head has been consumed.
+func (b *requestBoundary) inHead() bool { return b.head != headScanner{} }
+
+// consume returns how many bytes of p belong to the current request, and advances past them. It also returns
+// whether its head or its body is complete with them. Without an error it consumes at least 1 byte unless p is empty.
+func (b *requestBoundary) consume(p []byte) (n int, complete bool, err error) {
 	if b.bodyRemaining > 0 {
-		n := int(min(b.bodyRemaining, int64(len(p))))
+		n = int(min(b.bodyRemaining, int64(len(p))))
 		b.bodyRemaining -= int64(n)
-		return n, nil
+		return n, b.bodyRemaining == 0, nil
 	}
-	n, _, err := b.head.scan(p)
-	return n, err
+	return b.head.scan(p)
 }
--- a/internal/sidecar/requestboundary_test.go
+++ b/internal/sidecar/requestboundary_test.go
@@ -40,15 +40,18 @@
 	var part strings.Builder
 	for len(text) > 0 {
 		expected := b.bodyRemaining
-		n, err := b.consume([]byte(text[:min(chunk, len(text))]))
+		n, complete, err := b.consume([]byte(text[:min(chunk, len(text))]))
 		if err != nil {
 			panic(err)
 		}
 		part.WriteString(text[:n])
 		endsLine := text[n-1] == '\n'
 		text = text[n:]
-		headEnded := expected == 0 && endsLine && b.head == headScanner{}
+		headEnded := expected == 0 && endsLine && !b.inHead()
 		bodyEnded := expected > 0 && b.bodyRemaining == 0
+		if complete != (headEnded || bodyEnded) {
+			panic("consume doesn't report the end of a head or body")
+		}
 		if headEnded && len(parts) == 0 {
 			b.expectBody(body)
 		}
--- a/internal/sidecar/sidecar.go
+++ b/internal/sidecar/sidecar.go
@@ -70,10 +70,11 @@
 	// Not derived from ctx, which is cancelled before the drain.
 	componentsCtx, stopComponents := context.WithCancel(context.Background())
 	defer stopComponents()
+	clients := newAcceptor(listener, cfg.maxClientConns())
+	s.loop.clients = clients
 	s.start(componentsCtx)
 
 	s.ingress.ready.Store(true)
-	clients := newAcceptor(listener, cfg.maxClientConns())
 	server := s.ingress.server(clients)
 	serverErr := make(chan error, 1)
 	go func() { serverErr <- server.Serve(clients) }()
