Remember the IDs of closed requests, so that none runs twice

Cause: the ingress compares an X-Request-ID with the IDs in flight and forgets it with the response, or when the client leaves. net/http hands over a request only after those before it on its connection. Alone on its connection the same request gets 409, so the comparison itself works.

--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -3,7 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/http"
-	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -45,9 +44,14 @@
 	longBodies          *memoryBudget // of the requests in flight and of the responses to them
 	bodyTimeout         time.Duration // how long to read a request's body
 	rejectedBodyTimeout time.Duration // how long to read the rest of a rejected request
+	requestIDs          *requestIDs
+}
 
-	mu          sync.Mutex
-	inFlightIDs map[string]bool // X-Request-IDs of the requests that have no response yet
+// acceptedRequest is a valid request that was read in full.
+type acceptedRequest struct {
+	parsedRequest
+	id   *reservedID
+	body requestBody
 }
 
 func newIngress(cfg *Config, c clock, l *eventLoop) *ingress {
@@ -56,7 +60,7 @@
 		longBodies:          &memoryBudget{limit: cfg.maxTotalBodyBytes()},
 		bodyTimeout:         readBodyTimeout,
 		rejectedBodyTimeout: rejectedBodyTimeout,
-		inFlightIDs:         make(map[string]bool),
+		requestIDs:          newRequestIDs(),
 	}
 }
 
@@ -92,12 +96,12 @@
 		in.reject(w, r, rejection)
 		return
 	}
-	id := r.Header.Get(headerRequestID)
-	if !in.reserveID(id) {
-		in.reject(w, r, reject(http.StatusConflict, "a request of this X-Request-ID is open"))
+	id := in.requestIDs.reserve(r.Header.Get(headerRequestID), arrived)
+	if id == nil {
+		in.reject(w, r, reject(http.StatusConflict, "the X-Request-ID belongs to another request"))
 		return
 	}
-	defer in.releaseID(id)
+	defer func() { id.release(in.clock.now()) }()
 	memory := &memoryCharge{budget: in.longBodies}
 	defer memory.release()
 	body, rejection := in.readBody(w, r, memory)
@@ -105,7 +109,7 @@
 		in.reject(w, r, rejection)
 		return
 	}
-	in.forwardWithinLimits(w, r, parsed, requestBody{body, memory}, arrived+parsed.timeout)
+	in.forwardWithinLimits(w, r, acceptedRequest{parsed, id, requestBody{body, memory}}, arrived+parsed.timeout)
 }
 
 func isReadinessCheck(r *http.Request) bool {
@@ -127,8 +131,8 @@
 // A request is counted only once it has been read in full. If it were counted from its head on, a few clients
 // that announce a body and never send it could use up the limits for all others. Until a request is counted,
 // only the limit on client connections applies to it.
-func (in *ingress) forwardWithinLimits(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body requestBody, deadline time.Duration) {
-	size := int64(len(body.bytes))
+func (in *ingress) forwardWithinLimits(w http.ResponseWriter, r *http.Request, accepted acceptedRequest, deadline time.Duration) {
+	size := int64(len(accepted.body.bytes))
 	inFlight, inFlightBodyBytes := in.inFlight.Add(1), in.inFlightBodyBytes.Add(size)
 	defer in.inFlight.Add(-1)
 	defer in.inFlightBodyBytes.Add(-size)
@@ -138,13 +142,14 @@
 		writeUnavailable(w, in.randomRetryAfter())
 		return
 	}
-	in.forward(w, r, parsed, body, deadline)
+	in.forward(w, r, accepted, deadline)
 }
 
 // forward submits a request to the event loop and writes the response. If the client disconnects before there
 // is a response, forward makes net/http close the connection without one.
-func (in *ingress) forward(w http.ResponseWriter, r *http.Request, parsed parsedRequest, body requestBody, deadline time.Duration) {
-	final := in.awaitResponse(r, parsed, body, deadline)
+func (in *ingress) forward(w http.ResponseWriter, r *http.Request, accepted acceptedRequest, deadline time.Duration) {
+	final := in.awaitResponse(r, accepted, deadline)
+	accepted.id.mayHaveRun = final == nil || final.status != http.StatusServiceUnavailable
 	if final == nil {
 		panic(http.ErrAbortHandler) // net/http then closes the connection without a response
 	}
@@ -154,12 +159,12 @@
 
 // awaitResponse submits a request to the event loop and returns the response, or nil if the client
 // disconnects before there is one.
-func (in *ingress) awaitResponse(r *http.Request, parsed parsedRequest, body requestBody, deadline time.Duration) *response {
+func (in *ingress) awaitResponse(r *http.Request, accepted acceptedRequest, deadline time.Duration) *response {
 	client := monitorClient(r.Context())
 	defer client.stop()
-	outbound := newOutboundRequest(r, body, client.clientClosed)
+	outbound := newOutboundRequest(r, accepted.body, client.clientClosed)
 	reply := make(chan response, 1) // buffered, so that the event loop never blocks on a handler
-	id := in.loop.submit(parsed.policy, outbound, deadline, reply)
+	id := in.loop.submit(accepted.policy, outbound, deadline, reply)
 	select {
 	case final := <-reply:
 		return &final
@@ -206,21 +211,3 @@
 	}
 	w.Header().Set(headerConnection, "close")
 }
-
-// reserveID records the X-Request-ID of a request in flight. It returns false if a request with this ID is
-// already in flight: servers would take the second request for a duplicate of the first and drop it.
-func (in *ingress) reserveID(id string) bool {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	if in.inFlightIDs[id] {
-		return false
-	}
-	in.inFlightIDs[id] = true
-	return true
-}
-
-func (in *ingress) releaseID(id string) {
-	in.mu.Lock()
-	defer in.mu.Unlock()
-	delete(in.inFlightIDs, id)
-}
