Send one response to an evicted client

Cause: after the io.EOF of a Read in the middle of a head net/http parses the line that was cut off, reads on, and responds to the malformed head itself; each Read wrote the 503 again. Change: the response is written once, and writes of net/http after it are discarded.

TestResponseToEvictedClientIsWellFormed read only the first status line; in its place TestEvictedClientGetsOneResponse requires one response with a length and then the end of the connection, in four positions. Before the change it fails in three of them (a second 503, a 400 behind the 503). -race -count=50: passed.

--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -41,8 +41,12 @@
 	closed       bool          // released by the acceptor
 	closeDelayed bool          // delayClose was called: the client may still be sending, its last response unread
 
-	receiving    receiving
-	evicted      bool      // evict was called
+	receiving receiving
+	evicted   bool // evict was called
+	// The response to an evicted client was written; used only by the goroutine of net/http that serves the
+	// connection.
+	evictionAnswered bool
+
 	httpDeadline time.Time // read deadline that net/http has set; zero: none
 
 	closingElement *list.Element // in acceptor.closingConns; nil: not half-closed by Close, or already closed
--- a/internal/sidecar/receiving.go
+++ b/internal/sidecar/receiving.go
@@ -4,6 +4,7 @@
 	"container/list"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"time"
 )
@@ -142,20 +143,32 @@
 
 // endEvicted ends a Read on an evicted connection with the error that it returns. Once the handler has been
 // called, that is errEvicted, and the handler responds. Before that, endEvicted itself responds: the request has
-// not been forwarded, so the client may retry it. For io.EOF net/http writes no response of its own.
+// not been forwarded, so the client may retry it.
 func (c *clientConn) endEvicted() error {
 	if c.headRead() {
 		return errEvicted
 	}
-	_ = c.Conn.SetWriteDeadline(time.Now().Add(evictedResponseTimeout))
-	response := http.Response{
-		StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: make(http.Header),
+	if !c.evictionAnswered {
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(evictedResponseTimeout))
+		response := http.Response{
+			StatusCode: http.StatusServiceUnavailable, ProtoMajor: 1, ProtoMinor: 1, Close: true, Header: make(http.Header),
+		}
+		setRetryAfter(response.Header, c.acceptor.randomRetryAfter())
+		_ = response.Write(c.Conn) // fails only if the client has disconnected or does not read
+		c.evictionAnswered = true
 	}
-	setRetryAfter(response.Header, c.acceptor.randomRetryAfter())
-	_ = response.Write(c.Conn) // fails only if the client has disconnected or does not read
 	return io.EOF
 }
 
+// Write is called only by net/http. It may respond with 400 to a head that an eviction has cut off, which has
+// its response already.
+func (c *clientConn) Write(p []byte) (int, error) {
+	if c.evictionAnswered {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
 // headRead reports whether the handler has been called for the request that is being received or in flight.
 func (c *clientConn) headRead() bool {
 	c.acceptor.mu.Lock()
--- a/internal/sidecar/receiving_test.go
+++ b/internal/sidecar/receiving_test.go
@@ -191,17 +191,27 @@
 	expectOK(t, r)
 }
 
-// The status line of the response to an evicted client must be complete although net/http does not write it.
-func TestResponseToEvictedClientIsWellFormed(t *testing.T) {
-	a := serveStalledClients(t, 1)
-	stalled := sendOnNewConn(t, a.Addr().String(), "GET")
-	c := sendOnNewConn(t, a.Addr().String(), "")
-	checkReadiness(t, c, bufio.NewReader(c))
-	text, err := io.ReadAll(stalled)
-	if err != nil {
-		t.Fatal(err)
-	}
-	if !strings.HasPrefix(string(text), "HTTP/1.1 503 Service Unavailable\r\n") || !strings.Contains(string(text), "Content-Length: 0\r\n") {
-		t.Errorf("response %q, want 503 with a length", text)
+// net/http reads on after an eviction, and responds with 400 to a head that was cut off. An evicted client must
+// get one response, and a complete one.
+func TestEvictedClientGetsOneResponse(t *testing.T) {
+	for name, partial := range map[string]string{
+		"first bytes": "GET",
+		"half a line": rawRequest("stalled")[:60],
+		"whole lines": rawRequest("stalled")[:len("GET /look HTTP/1.1\r\nHost: service.internal\r\n")],
+		"half a body": partialRequests["half a body"],
+	} {
+		t.Run(name, func(t *testing.T) {
+			a := serveStalledClients(t, 1)
+			stalled := sendOnNewConn(t, a.Addr().String(), partial)
+			c := sendOnNewConn(t, a.Addr().String(), "")
+			checkReadiness(t, c, bufio.NewReader(c))
+			r := bufio.NewReader(stalled)
+			if res := readWholeResponse(t, r); res.StatusCode != http.StatusServiceUnavailable || res.ContentLength < 0 {
+				t.Errorf("status %s, length %d, want 503 with a length", res.Status, res.ContentLength)
+			}
+			if rest, err := io.ReadAll(r); err != nil || len(rest) > 0 {
+				t.Errorf("%q, error %v after the response, want the end of the connection", rest, err)
+			}
+		})
 	}
 }
