Take long and unfinished requests from a budget, so that they fit into the memory

Cause: the first 64 KiB of each body were in no budget and the heads of requests in none, as the number of connections was to bound them.

Change: what a request takes beyond 4 KiB of its parsed head and 4 KiB of its body comes from a budget, from its first byte to its response, and is reserved before it is allocated; otherwise 503 with Retry-After. The budget is an eighth of what the limit leaves beside an idle process. Responses keep an eighth of the limit for themselves. Below 80 KiB of memory for each of half of the descriptors, clients get fewer connections, but never under a third. The rest of a rejected body is read with 512 bytes.

TestLongRequestWithoutMemoryIsRejected and TestLongBodiesStayWithinTheirBudget use the new bounds of 4 KiB for requests and 64 KiB for responses.

--- a/internal/sidecar/acceptor.go
+++ b/internal/sidecar/acceptor.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"log/slog"
+	"math"
 	"net"
 	"net/http"
 	"sync"
@@ -32,6 +33,7 @@
 	closeDelay time.Duration // see clientConn.Close
 
 	receiveLimits receiveLimits
+	longRequests  *memoryBudget // of the heads that are being received
 	// randomRetryAfter returns the Retry-After of the response to an evicted client.
 	randomRetryAfter func() time.Duration
 
@@ -42,7 +44,7 @@
 	closingConns   list.List     // of *clientConn whose sending side is closed, oldest first
 	allClosed      chan struct{} // closed once no connection is open; nil before drained is called
 	evictedIdle    int           // idle connections closed at the limit since the start
-	evictedPartial int           // connections evicted with an incomplete request since the start
+	evictedPartial int           // connections evicted while their request was incomplete, since the start
 
 	capacityFreed chan struct{} // has an item when a connection may have been closed or become idle
 	closed        chan struct{} // closed by Close
@@ -58,6 +60,7 @@
 		closed:        make(chan struct{}),
 
 		receiveLimits:    receiveLimits{head: receiveHeadTimeout, request: receiveTimeout},
+		longRequests:     &memoryBudget{limit: math.MaxInt64},
 		randomRetryAfter: func() time.Duration { return 0 },
 	}
 }
@@ -115,7 +118,6 @@
 	if c, at := a.nextEvictable(); c != nil {
 		wait := time.Until(at)
 		if wait <= 0 {
-			a.evictedPartial++
 			c.evict() // its goroutine closes it
 			return minClientIdle, false
 		}
@@ -153,6 +155,7 @@
 	}
 	a.markActive(c)
 	c.stopReceiving()
+	c.receiving.releaseMemory()
 	if c.closingElement != nil {
 		a.closingConns.Remove(c.closingElement)
 		c.closingElement = nil
@@ -246,7 +249,7 @@
 	c.receiving.headRead = false
 	if c.boundary.inHead() { // net/http's background read has returned the first byte of the next request
 		now := time.Now()
-		c.receiving.startedAt = now
+		c.beginRequest(now)
 		c.keepReceiving(now)
 	} else {
 		a.markIdle(c)
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -102,7 +102,10 @@
 	if headErr != nil {
 		return 0, headErr // net/http responds with 400 and closes the connection
 	}
-	c.receivedBytes(now, complete)
+	if !c.receivedBytes(p[:consumed], now, complete) {
+		c.evict()
+		return 0, errEvicted
+	}
 	if consumed < n {
 		c.buffered = append(bytes.Clone(p[consumed:n]), c.buffered...)
 		n = consumed
@@ -121,21 +124,28 @@
 	return c.arrivedAt
 }
 
-// expectBody records that the head of a request has been read, and sets the length of its body, before the body
-// is read. A negative length means that it is not known.
-func (c *clientConn) expectBody(length int64) {
+// headRead records that the handler was called for a request, before it reads the body, and sets the length of
+// the body. A negative length means that it is not known. headRead returns what the head takes from the budget
+// for long requests; from then on the handler owns it.
+func (c *clientConn) headRead(bodyLength int64) *memoryCharge {
 	c.acceptor.mu.Lock()
 	defer c.acceptor.mu.Unlock()
 	c.receiving.headRead = true
-	if length < 0 {
-		length = math.MaxInt64 // such a request is rejected, and its connection closed
+	if bodyLength < 0 {
+		bodyLength = math.MaxInt64 // such a request is rejected, and its connection closed
 	}
-	c.boundary.expectBody(length)
-	if length == 0 {
+	c.boundary.expectBody(bodyLength)
+	if bodyLength == 0 {
 		c.stopReceiving()
 	} else {
 		c.keepReceiving(time.Now())
 	}
+	memory := c.receiving.memory
+	if memory == nil {
+		memory = &memoryCharge{budget: c.acceptor.longRequests}
+	}
+	c.receiving.memory = nil
+	return memory
 }
 
 // hasNextRequest reports whether bytes of the client have arrived after the current request. It must not be
--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -155,23 +155,48 @@
 	return byName
 }
 
+const (
+	// clientConnBytes is the part of the memory limit for each client connection. A connection with a request
+	// takes about a third of it; the rest is for attempts, bodies and garbage.
+	clientConnBytes = 80 << 10
+	// idleProcessMB is the memory of a process without requests, in MiB.
+	idleProcessMB = 16
+)
+
 // The file descriptors are divided into fixed shares, so that neither client connections nor server
 // connections can exhaust those that the other needs: half for clients, three eighths for servers, and one
 // eighth for connections that are being closed, discovery, gossip, the listener and the process itself.
 // Client connections with a request in flight may take up a third of all descriptors; the share of half leaves
 // room for idle client connections as well.
 
-// maxClientConns returns the limit on open client connections.
-func (c *Config) maxClientConns() int { return c.MaxDescriptors / 2 }
+// maxClientConns returns the limit on open client connections: half of the descriptors, or less if MemoryMB does
+// not suffice for so many, but not less than clients may need for requests.
+func (c *Config) maxClientConns() int {
+	conns := c.MaxDescriptors / 2
+	if c.MemoryMB > 0 {
+		conns = min(conns, c.MemoryMB<<20/clientConnBytes)
+	}
+	return max(conns, c.MaxDescriptors/3)
+}
 
 // maxServerConns returns the limit on open connections to servers.
 func (c *Config) maxServerConns() int { return c.MaxDescriptors * 3 / 8 }
 
 // maxTotalBodyBytes returns the limit on the total size of the request bodies in memory, and on that of the long
-// bodies: each is an eighth of MemoryMB, or no limit if MemoryMB is 0.
+// responses: each is an eighth of MemoryMB, or no limit if MemoryMB is 0.
 func (c *Config) maxTotalBodyBytes() int64 {
 	if c.MemoryMB == 0 {
 		return math.MaxInt64
 	}
 	return int64(c.MemoryMB) << 20 / 8
 }
+
+// maxLongRequestBytes returns the limit on the total memory of the long requests that are being received or are
+// in flight: an eighth of what MemoryMB leaves beside an idle process, or no limit if MemoryMB is 0.
+func (c *Config) maxLongRequestBytes() int64 {
+	if c.MemoryMB == 0 {
+		return math.MaxInt64
+	}
+	megabytes := max(c.MemoryMB-idleProcessMB, c.MemoryMB/4)
+	return int64(megabytes) << 20 / 8
+}
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -112,3 +112,16 @@
 		t.Errorf("name, listen, discovery = %q, %q, %q, want n7, 127.0.0.1:7, 127.0.0.1:1", c.Name, c.Listen, c.Discovery)
 	}
 }
+
+// Connections of clients take memory. With little of it there must be fewer of them than half of the descriptors, but
+// no fewer than a third, which clients may need for requests.
+func TestClientConnectionsFitIntoMemory(t *testing.T) {
+	for _, c := range []struct{ memoryMB, descriptors, want int }{
+		{192, 256, 128}, {32, 256, 128}, {64, 1024, 512}, {32, 1024, 409}, {16, 1024, 341}, {0, 1024, 512},
+	} {
+		cfg := &Config{MemoryMB: c.memoryMB, MaxDescriptors: c.descriptors}
+		if got := cfg.maxClientConns(); got != c.want {
+			t.Errorf("%d MB, %d descriptors: %d client connections, want %d", c.memoryMB, c.descriptors, got, c.want)
+		}
+	}
+}
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -41,7 +41,8 @@
 	ready             atomic.Bool  // whether readiness checks are answered with 200
 	drainDeadline     atomic.Int64 // time of the clock by which responses must be written; 0: not draining
 
-	longBodies          *memoryBudget // of the requests in flight and of the responses to them
+	longRequests        *memoryBudget // of the requests that are received or in flight
+	longResponses       *memoryBudget // of the responses to the requests in flight
 	bodyTimeout         time.Duration // how long to read a request's body
 	rejectedBodyTimeout time.Duration // how long to read the rest of a rejected request
 	requestIDs          *requestIDs
@@ -57,7 +58,8 @@
 func newIngress(cfg *Config, c clock, l *eventLoop) *ingress {
 	return &ingress{
 		cfg: cfg, clock: c, loop: l,
-		longBodies:          &memoryBudget{limit: cfg.maxTotalBodyBytes()},
+		longRequests:        &memoryBudget{limit: cfg.maxLongRequestBytes()},
+		longResponses:       &memoryBudget{limit: cfg.maxTotalBodyBytes()},
 		bodyTimeout:         readBodyTimeout,
 		rejectedBodyTimeout: rejectedBodyTimeout,
 		requestIDs:          newRequestIDs(),
@@ -66,7 +68,7 @@
 
 // server returns the HTTP server for the application on an acceptor. The caller starts it and shuts it down.
 func (in *ingress) server(a *acceptor) *http.Server {
-	a.randomRetryAfter = in.randomRetryAfter
+	a.randomRetryAfter, a.longRequests = in.randomRetryAfter, in.longRequests
 	return &http.Server{
 		Handler:           in,
 		ReadHeaderTimeout: readHeadTimeout,
@@ -82,11 +84,12 @@
 	// The client's timeout starts when the client sends the request. The arrival time is therefore taken before
 	// the body is read. For a pipelined request it is the time at which its bytes were read from the socket,
 	// before the request waited for the response to the previous one.
-	arrived := in.clock.now()
+	arrived, memory := in.clock.now(), &memoryCharge{budget: in.longRequests}
 	if c := clientConnFromContext(r.Context()); c != nil {
-		c.expectBody(r.ContentLength)
+		memory = c.headRead(r.ContentLength)
 		arrived = min(arrived, in.clock.fromTime(c.requestArrivalTime()))
 	}
+	defer memory.release()
 	if isReadinessCheck(r) {
 		in.writeReadiness(w, r)
 		return
@@ -102,14 +105,14 @@
 		return
 	}
 	defer func() { id.release(in.clock.now()) }()
-	memory := &memoryCharge{budget: in.longBodies}
-	defer memory.release()
 	body, rejection := in.readBody(w, r, memory)
 	if rejection != nil {
 		in.reject(w, r, rejection)
 		return
 	}
-	in.forwardWithinLimits(w, r, acceptedRequest{parsed, id, requestBody{body, memory}}, arrived+parsed.timeout)
+	responseMemory := &memoryCharge{budget: in.longResponses}
+	defer responseMemory.release()
+	in.forwardWithinLimits(w, r, acceptedRequest{parsed, id, requestBody{body, responseMemory}}, arrived+parsed.timeout)
 }
 
 func isReadinessCheck(r *http.Request) bool {
--- a/internal/sidecar/memorybudget.go
+++ b/internal/sidecar/memorybudget.go
@@ -7,9 +7,16 @@
 	"sync/atomic"
 )
 
-// shortBodyBytes is the part of each body that needs no budget: the limits on connections bound the memory that
-// these parts take in all.
-const shortBodyBytes = 64 << 10
+// The parts of messages that need no budget: the limits on connections bound the memory that these take in all.
+// A client holds its part for as long as it takes to write the request, and there may be many such clients; a
+// server's response is received in one go.
+const (
+	shortRequestBytes  = 4 << 10  // of a request's head, once it is parsed, and again of its body
+	shortResponseBytes = 64 << 10 // of a response's body
+)
+
+// parsedFieldBytes is what a header field takes once it is parsed, besides its name and value.
+const parsedFieldBytes = 128
 
 // Errors of bodyReader.
 var (
@@ -17,7 +24,7 @@
 	errBudgetExhausted = errors.New("long bodies exhaust their memory budget")
 )
 
-// memoryBudget limits the memory that long bodies take in all, so that they can't exhaust that of the process.
+// memoryBudget limits the memory that long messages take in all, so that they can't exhaust that of the process.
 type memoryBudget struct {
 	limit int64 // bytes
 	used  atomic.Int64
@@ -32,7 +39,10 @@
 	return true
 }
 
-// memoryCharge is what the bodies of one client's request take from a budget. Its methods are safe for
+// mayReserve reports whether so many bytes are left in the budget.
+func (b *memoryBudget) mayReserve(bytes int64) bool { return b.used.Load()+bytes <= b.limit }
+
+// memoryCharge is what one request, or the responses to it, take from a budget. Its methods are safe for
 // concurrent use. A nil charge has no budget.
 type memoryCharge struct {
 	budget *memoryBudget
@@ -65,8 +75,8 @@
 	c.bytes, c.released = 0, true
 }
 
-// bodyReader reads a body within a limit on its size, and takes the memory for what exceeds shortBodyBytes from
-// a budget as the bytes arrive. A length that is only announced takes nothing.
+// bodyReader reads the body of a response within a limit on its size, and takes the memory for what exceeds
+// shortResponseBytes from a budget as the bytes arrive. A length that is only announced takes nothing.
 type bodyReader struct {
 	source   io.Reader
 	maxBytes int
@@ -80,7 +90,7 @@
 	if r.read > r.maxBytes {
 		return 0, errBodyTooLarge
 	}
-	if long := min(n, r.read-shortBodyBytes); long > 0 && !r.charge.reserve(int64(long)) {
+	if long := min(n, r.read-shortResponseBytes); long > 0 && !r.charge.reserve(int64(long)) {
 		return 0, errBudgetExhausted
 	}
 	return n, err
--- a/internal/sidecar/outbound.go
+++ b/internal/sidecar/outbound.go
@@ -19,7 +19,7 @@
 	header       http.Header // end-to-end headers only
 	body         []byte
 	clientClosed func() bool   // reports whether the client has closed its connection; nil: there is no client
-	memory       *memoryCharge // of the request's long bodies; nil: no response may have one
+	memory       *memoryCharge // of long responses; nil: no response may be long
 }
 
 // newOutboundRequest returns the request to forward for a client's request, whose body has been read.
@@ -31,7 +31,7 @@
 		header:       endToEndHeaders(r.Header),
 		body:         body.bytes,
 		clientClosed: clientClosed,
-		memory:       body.memory,
+		memory:       body.responseMemory,
 	}
 }
 
--- a/internal/sidecar/readresponse.go
+++ b/internal/sidecar/readresponse.go
@@ -43,7 +43,7 @@
 	if res.ContentLength > maxBodyBytes {
 		return nil, errBodyTooLarge // before any of the body is read
 	}
-	if 0 <= res.ContentLength && res.ContentLength <= shortBodyBytes {
+	if 0 <= res.ContentLength && res.ContentLength <= shortResponseBytes {
 		body := make([]byte, res.ContentLength)
 		_, err := io.ReadFull(res.Body, body)
 		return body, err
--- a/internal/sidecar/readresponse_test.go
+++ b/internal/sidecar/readresponse_test.go
@@ -87,7 +87,7 @@
 // taking the process over its memory limit, until another request has returned its memory. Short bodies need no
 // budget.
 func TestLongBodiesStayWithinTheirBudget(t *testing.T) {
-	const long, short = 3 * shortBodyBytes, shortBodyBytes
+	const long, short = 3 * shortResponseBytes, shortResponseBytes
 	budget := &memoryBudget{limit: 2*(long-short) + 1}
 	read := func(size int, charge *memoryCharge) error {
 		_, err := io.ReadAll(&bodyReader{source: strings.NewReader(strings.Repeat("x", size)), maxBytes: long, charge: charge})
@@ -123,7 +123,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newStub(t, func(c net.Conn, _ receivedRequest) bool {
-				return respondOK(c, strings.Repeat("x", shortBodyBytes+1))
+				return respondOK(c, strings.Repeat("x", shortResponseBytes+1))
 			})
 			tr, request, done := newTestTransport(t), newTestOutboundRequest("1"), make(chan attemptResult, 1)
 			use(request.memory)
--- a/internal/sidecar/receiving.go
+++ b/internal/sidecar/receiving.go
@@ -1,6 +1,7 @@
 package sidecar
 
 import (
+	"bytes"
 	"container/list"
 	"errors"
 	"io"
@@ -47,6 +48,8 @@
 	startedAt  time.Time     // when its first byte was read
 	progressAt time.Time     // when its latest bytes were read
 	headRead   bool          // net/http has read its head and called the handler
+	headMemory int           // bytes that its head takes once it is parsed
+	memory     *memoryCharge // of its head; nil: none, or owned by the handler
 }
 
 // deadline returns the time by which the next bytes of the request must arrive.
@@ -70,22 +73,53 @@
 	return a
 }
 
-// receivedBytes records that net/http has read bytes from the connection, and whether a request's head or body
-// is complete with them. The caller holds the acceptor's lock.
-func (c *clientConn) receivedBytes(now time.Time, complete bool) {
+// receivedBytes records that net/http has read a part of a request from the connection, and whether the request's
+// head or body is complete with it. It returns false if the budget for long requests is exhausted. The caller
+// holds the acceptor's lock.
+func (c *clientConn) receivedBytes(part []byte, now time.Time, complete bool) bool {
 	continued := c.receiving.element != nil
 	if !continued && c.receiving.headRead {
-		return // the first byte of the request behind the one in flight
+		return true // the first byte of the request behind the one in flight
 	}
 	c.acceptor.markActive(c)
 	if !continued {
-		c.receiving.startedAt = now
+		c.beginRequest(now)
+	}
+	if !c.receiving.headRead && !c.receiving.chargeHead(part) {
+		return false
 	}
 	if complete {
 		c.stopReceiving()
 	} else {
 		c.keepReceiving(now)
 	}
+	return true
+}
+
+// beginRequest records the first byte of a request. The caller holds the acceptor's lock.
+func (c *clientConn) beginRequest(now time.Time) {
+	c.receiving.releaseMemory()
+	c.receiving.startedAt = now
+	c.receiving.headMemory = 0
+	c.receiving.memory = &memoryCharge{budget: c.acceptor.longRequests}
+}
+
+// chargeHead takes the memory for a part of a request's head from the budget, as far as the head exceeds its free
+// part. It returns false if the budget has too little left.
+func (r *receiving) chargeHead(part []byte) bool {
+	const copies = 2 // net/http copies the names and values of fields out of its lines
+	memory := copies*len(part) + parsedFieldBytes*bytes.Count(part, []byte("\n"))
+	r.headMemory += memory
+	long := min(memory, r.headMemory-shortRequestBytes)
+	return long <= 0 || r.memory.reserve(int64(long))
+}
+
+// releaseMemory returns what the head has taken from the budget, unless the handler owns it.
+func (r *receiving) releaseMemory() {
+	if r.memory != nil {
+		r.memory.release()
+		r.memory = nil
+	}
 }
 
 // keepReceiving records that a part of a request has arrived and more is to come. The caller holds the
@@ -132,9 +166,10 @@
 	return c.Conn.SetReadDeadline(deadline)
 }
 
-// evict ends the reception of an incomplete request: its Read fails with errEvicted, after which the
-// connection is closed. The caller holds the acceptor's lock.
+// evict ends the reception of an incomplete request to free its place or its memory: its Read fails with
+// errEvicted, after which the connection is closed. The caller holds the acceptor's lock.
 func (c *clientConn) evict() {
+	c.acceptor.evictedPartial++
 	c.evicted = true
 	c.closeDelayed = true
 	c.stopReceiving()
@@ -145,7 +180,7 @@
 // called, that is errEvicted, and the handler responds. Before that, endEvicted itself responds: the request has
 // not been forwarded, so the client may retry it.
 func (c *clientConn) endEvicted() error {
-	if c.headRead() {
+	if c.handlerCalled() {
 		return errEvicted
 	}
 	if !c.evictionAnswered {
@@ -169,8 +204,8 @@
 	return c.Conn.Write(p)
 }
 
-// headRead reports whether the handler has been called for the request that is being received or in flight.
-func (c *clientConn) headRead() bool {
+// handlerCalled reports whether the handler has been called for the request that is being received or in flight.
+func (c *clientConn) handlerCalled() bool {
 	c.acceptor.mu.Lock()
 	defer c.acceptor.mu.Unlock()
 	return c.receiving.headRead
--- a/internal/sidecar/receiving_test.go
+++ b/internal/sidecar/receiving_test.go
@@ -129,7 +129,7 @@
 		t.Errorf("deadline moved by %v with further bytes of the head", second.Sub(first))
 	}
 	deadlineAfter(head[3:])
-	accepted.expectBody(10)
+	accepted.headRead(10)
 	for _, part := range []string{"1", "2345"} {
 		if body := deadlineAfter(part); body.Sub(first) != receiveTimeout-receiveHeadTimeout {
 			t.Errorf("deadline of the body is %v after that of the head, want %v", body.Sub(first), receiveTimeout-receiveHeadTimeout)
--- a/internal/sidecar/rejection_test.go
+++ b/internal/sidecar/rejection_test.go
@@ -138,14 +138,14 @@
 // client must be told that it may retry, and when.
 func TestLongRequestWithoutMemoryIsRejected(t *testing.T) {
 	handler := newIngress(testConfig(t, fullListResponse(1, "ready"), nil), newClock(), nil)
-	handler.longBodies.used.Store(handler.longBodies.limit)
-	body := strings.Repeat("x", shortBodyBytes+1)
+	handler.longRequests.used.Store(handler.longRequests.limit)
+	body := strings.Repeat("x", shortRequestBytes+1)
 	head := requestHead("POST", "entry", fmt.Sprintf("Content-Length: %d", len(body)))
 	res := readWholeResponse(t, bufio.NewReader(sendOnNewConn(t, serveRejectionsOf(t, handler, 10), head+body)))
 	if res.StatusCode != http.StatusServiceUnavailable || res.Header.Get("Retry-After") == "" || !res.Close {
 		t.Errorf("status %s, headers %v, want 503 with Retry-After and Connection: close", res.Status, res.Header)
 	}
-	if used := handler.longBodies.used.Load(); used != handler.longBodies.limit {
-		t.Errorf("%d bytes are taken after the rejection, want %d as before", used, handler.longBodies.limit)
+	if used := handler.longRequests.used.Load(); used != handler.longRequests.limit {
+		t.Errorf("%d bytes are taken after the rejection, want %d as before", used, handler.longRequests.limit)
 	}
 }
--- a/internal/sidecar/response.go
+++ b/internal/sidecar/response.go
@@ -14,6 +14,8 @@
 	// maxDiscardedBodyBytes limits how much of that body is read: reading more would cost CPU time that other
 	// requests need.
 	maxDiscardedBodyBytes = 256 << 10
+	// discardBufferBytes is the size of the buffer for that.
+	discardBufferBytes = 512
 )
 
 // write sends the final response to the client.
@@ -69,11 +71,25 @@
 	if control.Flush() != nil {
 		return // the client has disconnected
 	}
-	if _, err := io.CopyN(io.Discard, r.Body, maxDiscardedBodyBytes); err != io.EOF {
+	if !discardBody(r.Body) {
 		delayClose(r.Context())
 	}
 }
 
+// discardBody reads a body up to maxDiscardedBodyBytes and reports whether it has reached its end. The buffer is
+// small because many clients may be rejected at once; net/http has one of its own behind it.
+func discardBody(body io.Reader) (ended bool) {
+	buffer := make([]byte, discardBufferBytes)
+	for read := 0; read < maxDiscardedBodyBytes; {
+		n, err := body.Read(buffer)
+		if err != nil {
+			return err == io.EOF
+		}
+		read += n
+	}
+	return false
+}
+
 // writeError writes a rejection with its reason as the body, as the last response on its connection.
 // Content-Length is set so that the response is complete once it is flushed.
 func writeError(w http.ResponseWriter, rejection *rejectionError) {
