Let a connection pause whose client always has its next request ready

Cause: with GOMAXPROCS 1 the goroutine of such a connection never waits, and the runtime looks for bytes of other connections only every 10 ms. Floods whose requests go to the event loop or close their connection delayed nobody (25 to 31 ms), so the event loop and the acceptor's lock are excluded.

Change: a connection that has had 16 requests answered, each with the next one there already, pauses for as long as they took, 1 to 10 ms, times the connections that pause.

--- a/internal/sidecar/acceptor.go
+++ b/internal/sidecar/acceptor.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -37,6 +38,9 @@
 	// randomRetryAfter returns the Retry-After of the response to an evicted client.
 	randomRetryAfter func() time.Duration
 
+	pausingConns atomic.Int64        // connections in requestAnswered's pause
+	pause        func(time.Duration) // time.Sleep, except in tests
+
 	mu             sync.Mutex // also guards the state of each clientConn
 	openConns      int
 	idleConns      list.List     // of *clientConn that wait for a request's first byte, longest idle first
@@ -62,6 +66,7 @@
 		receiveLimits:    receiveLimits{head: receiveHeadTimeout, request: receiveTimeout},
 		longRequests:     &memoryBudget{limit: math.MaxInt64},
 		randomRetryAfter: func() time.Duration { return 0 },
+		pause:            time.Sleep,
 	}
 }
 
@@ -235,12 +240,16 @@
 }
 
 // connStateChanged is the HTTP server's ConnState hook: it tracks whether a connection has a request in
-// flight.
+// flight. net/http calls it on the goroutine that serves the connection.
 func (a *acceptor) connStateChanged(raw net.Conn, state http.ConnState) {
-	c, ok := raw.(*clientConn)
-	if !ok || state != http.StateIdle {
-		return
+	if c, ok := raw.(*clientConn); ok && state == http.StateIdle {
+		a.requestEnded(c)
+		c.requestAnswered()
 	}
+}
+
+// requestEnded records that a connection has no request in flight any more.
+func (a *acceptor) requestEnded(c *clientConn) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if c.closed {
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -49,6 +49,8 @@
 
 	httpDeadline time.Time // read deadline that net/http has set; zero: none
 
+	turn clientTurn
+
 	closingElement *list.Element // in acceptor.closingConns; nil: not half-closed by Close, or already closed
 
 	httpReading        bool           // net/http is in Read
@@ -134,6 +136,7 @@
 	if bodyLength < 0 {
 		bodyLength = math.MaxInt64 // such a request is rejected, and its connection closed
 	}
+	c.turn.countRequest(int64(len(c.buffered)) > bodyLength)
 	c.boundary.expectBody(bodyLength)
 	if bodyLength == 0 {
 		c.stopReceiving()
