Tell a new process of a server, or at the address of one, from the old one

After a server had started again under its ID at its address, requests were written on the idle connections of its old process. While a late list still named a server that had gone, its requests were sent to the new server at the address, at the pace for a warm server and with the cell of the old one.

Cause: the process behind an endpoint was identified by ID and address; the start time in the list was used for slow start alone.

Change: a later start makes a new endpoint object, which inherits no connection. An endpoint at whose address another one is listed with a later start is removed, also for the Balancer. With equal start times both stay.

Measured: before the change TestRestartedServerInheritsNoConnection fails (the request is sent on the old connection, which is never closed), and TestServerReplacesOthersAtItsAddress in three of its five cases (both servers in the table). After it both hold; -race -count=50: passed. Not covered: the time until the list names the new process.

--- a/internal/sidecar/endpoints_test.go
+++ b/internal/sidecar/endpoints_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -99,6 +100,95 @@
 	}
 }
 
+// A server starts again under its ID and at its address. Its old process may have vanished without ending its
+// connections, and a request on one of them used to be sent to nobody and to count as one that may have run.
+func TestRestartedServerInheritsNoConnection(t *testing.T) {
+	s := newStub(t, echo)
+	l := newTestLoop(t, s.address)
+	l.transport.minIdle = 0
+	list := func(startedAtMS int) endpointlist.List {
+		list, err := endpointlist.Parse([]byte(fmt.Sprintf(`{"generation":2,"reset":false,"instances":[
+			{"instanceId":"s-0","hostPort":%q,"lifecycle":"ready","startedAtMs":%d}]}`, s.address, startedAtMS)), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return list
+	}
+	connNumber := func() int {
+		attempt(t, l.transport, l.endpoints[serverID("s-0")], "1", testTimeout)
+		return wait(t, "the request", s.receivedRequests).connNumber
+	}
+	old := connNumber()
+	l.applyEndpoints(list(0), policy.DeltaUpdate)
+	if n := connNumber(); n != old {
+		t.Errorf("request to the same process was sent on connection %d, want %d", n, old)
+	}
+	l.applyEndpoints(list(1000), policy.DeltaUpdate)
+	restarted := connNumber()
+	if restarted == old {
+		t.Error("request to the restarted server was sent on a connection of its old process")
+	}
+	if closed := wait(t, "a connection to close", s.closedConns); closed != old {
+		t.Errorf("connection %d was closed, want %d", closed, old)
+	}
+	l.applyEndpoints(list(0), policy.DeltaUpdate) // a list from before the restart
+	if n := connNumber(); n != restarted {
+		t.Errorf("request after an old entry was sent on connection %d, want %d", n, restarted)
+	}
+}
+
+// A new server is listed at the address of one that is still listed, as lists may be late. Requests to the old one
+// used to be sent to the new process, as to a warm server of the old one's cell.
+func TestServerReplacesOthersAtItsAddress(t *testing.T) {
+	const entry = `{"instanceId":%q,"hostPort":%q,"lifecycle":"ready","startedAtMs":%d}`
+	for name, c := range map[string]struct {
+		second   string // entry that is listed beside s-0, which has started at 1000 ms
+		reset    bool   // both are in one full list
+		want     []string
+		selected string // that gets the requests
+	}{
+		"started later, in a delta":     {fmt.Sprintf(entry, "new", "ADDRESS", 2000), false, []string{"new"}, "new"},
+		"started later, in a full list": {fmt.Sprintf(entry, "new", "ADDRESS", 2000), true, []string{"new"}, "new"},
+		"started before":                {fmt.Sprintf(entry, "older", "ADDRESS", 500), false, []string{"s-0"}, "s-0"},
+		"at another address":            {fmt.Sprintf(entry, "other", "127.0.0.1:1", 2000), false, []string{"other", "s-0"}, ""},
+		"started at the same time":      {fmt.Sprintf(entry, "twin", "ADDRESS", 1000), false, []string{"s-0", "twin"}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newStub(t, echo)
+			l := newTestLoop(t, s.address)
+			apply := func(kind policy.UpdateKind, reset bool, entries ...string) {
+				text := fmt.Sprintf(`{"generation":2,"reset":%v,"instances":[%s]}`, reset, strings.Join(entries, ","))
+				list, err := endpointlist.Parse([]byte(strings.ReplaceAll(text, "ADDRESS", s.address)), nil)
+				if err != nil {
+					t.Fatal(err)
+				}
+				l.applyEndpoints(list, kind)
+			}
+			first := fmt.Sprintf(entry, "s-0", "ADDRESS", 1000)
+			apply(policy.FullUpdate, true, first)
+			if c.reset {
+				apply(policy.FullUpdate, true, first, c.second)
+			} else {
+				apply(policy.DeltaUpdate, false, c.second)
+			}
+			for _, instance := range []string{"s-0", "new", "older", "other", "twin"} {
+				if _, listed := l.endpoints[serverID(instance)]; listed != slices.Contains(c.want, instance) {
+					t.Errorf("%s is in the endpoint table: %v, want %v", instance, listed, !listed)
+				}
+			}
+			if c.selected == "" {
+				return
+			}
+			r, _ := l.addRequest(1)
+			l.balancer.Request(l.now, policy.Request{ID: 1, Class: 2, Timeout: testTimeout})
+			if r.inFlight != 1 || len(l.deniedSends) > 0 {
+				t.Errorf("%d attempts in flight, %d denied, want one at %s: the Balancer does not know who is listed",
+					r.inFlight, len(l.deniedSends), c.selected)
+			}
+		})
+	}
+}
+
 // After a server's address changes, the endpoint table must hold the new address. A removed server must leave
 // the table, and a delta update must keep endpoints that it does not contain.
 func TestEndpointUpdatesMoveServers(t *testing.T) {
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -15,11 +15,12 @@
 	minConnIdle = 10 * time.Millisecond
 )
 
-// endpoint is a server at an address. A server that appears at the address of a removed one is a new endpoint
-// and inherits no connections, as those lead to the old server.
+// endpoint is one process of a server at an address. A server that appears at the address of a removed one, and a
+// server that has started again, is a new endpoint and inherits no connections, as those lead to the old process.
 type endpoint struct {
-	address string
-	removed bool // no longer listed, so connections to it are not pooled; guarded by the pool's lock
+	address   string
+	startedAt time.Duration // 0: long ago
+	removed   bool          // no longer listed, so connections to it are not pooled; guarded by the pool's lock
 }
 
 // connPool holds the idle connections to servers and limits the total number of open connections. Its methods
