Keep requests in flight served while many clients connect again at once

A dump at a request that had waited 1.5 s has 313 goroutines of new connections in the run queue: with one thread the runtime takes goroutines that have become ready for I/O from the global queue only once in 61.

A connection on which a request has arrived is not idle. Up to an eighth of the connections are evicted at a time, if they have stalled. After 16 connections in 16 ms the acceptor pauses as long as they took. The acceptor isn't woken for connections that may only be closed later.

With connections taken for idle in spite of a request, TestConnectionWithUnreadRequestIsNotIdle fails.

--- a/internal/sidecar/acceptor.go
+++ b/internal/sidecar/acceptor.go
@@ -38,6 +38,8 @@
 	// randomRetryAfter returns the Retry-After of the response to an evicted client.
 	randomRetryAfter func() time.Duration
 
+	turn         acceptTurn
+	turnPause    time.Duration       // before the next connection is accepted
 	pausingConns atomic.Int64        // connections in requestAnswered's pause
 	pause        func(time.Duration) // time.Sleep, except in tests
 
@@ -50,7 +52,7 @@
 	evictedIdle    int           // idle connections closed at the limit since the start
 	evictedPartial int           // connections evicted while their request was incomplete, since the start
 
-	capacityFreed chan struct{} // has an item when a connection may have been closed or become idle
+	capacityFreed chan struct{} // has an item when a connection may have been closed
 	closed        chan struct{} // closed by Close
 	closeOnce     sync.Once
 }
@@ -72,6 +74,9 @@
 
 // Accept waits for a client to connect, and then until the limit allows one more open connection.
 func (a *acceptor) Accept() (net.Conn, error) {
+	if a.turnPause > 0 {
+		a.pause(a.turnPause)
+	}
 	raw, err := a.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -80,6 +85,7 @@
 		raw.Close()
 		return nil, net.ErrClosed
 	}
+	a.turnPause = a.turn.connAccepted(time.Now())
 	return a.add(raw), nil
 }
 
@@ -111,24 +117,34 @@
 		a.closeForCapacity(next.Value.(*clientConn))
 		return 0, true
 	}
-	retryAfter = minClientIdle
-	if longestIdle := a.idleConns.Front(); longestIdle != nil {
+	if retryAfter, ok = a.closeIdle(); ok {
+		return 0, true
+	}
+	if wait, any := a.evictStalled(); any {
+		retryAfter = min(retryAfter, wait)
+	}
+	return retryAfter, false
+}
+
+// closeIdle closes the connection that has been idle longest, if it has been idle for long enough. Otherwise it
+// returns the time until it may be closed. A connection on which a request has arrived is not idle, although its
+// goroutine may not have read it yet while the process is short of CPU time. The caller holds the lock.
+func (a *acceptor) closeIdle() (retryAfter time.Duration, ok bool) {
+	for range a.idleConns.Len() {
+		longestIdle := a.idleConns.Front()
 		c := longestIdle.Value.(*clientConn)
-		if retryAfter = minClientIdle - time.Since(c.idleSince); retryAfter <= 0 {
+		if retryAfter = minClientIdle - time.Since(c.idleSince); retryAfter > 0 {
+			return retryAfter, false
+		}
+		if !c.hasUnreadBytes() {
 			a.evictedIdle++
 			a.closeForCapacity(c)
 			return 0, true
 		}
+		c.idleSince = time.Now()
+		a.idleConns.MoveToBack(longestIdle)
 	}
-	if c, at := a.nextEvictable(); c != nil {
-		wait := time.Until(at)
-		if wait <= 0 {
-			c.evict() // its goroutine closes it
-			return minClientIdle, false
-		}
-		retryAfter = min(retryAfter, wait)
-	}
-	return retryAfter, false
+	return minClientIdle, false
 }
 
 // closeForCapacity closes a connection at once to admit another one. The caller holds the lock.
@@ -202,7 +218,6 @@
 	if c.idleElement == nil {
 		c.idleSince = time.Now()
 		c.idleElement = a.idleConns.PushBack(c)
-		a.notifyCapacityFreed()
 	}
 }
 
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -47,7 +47,7 @@
 	// connection.
 	evictionAnswered bool
 
-	httpDeadline time.Time // read deadline that net/http has set; zero: none
+	readDeadline readDeadline
 
 	turn clientTurn
 
@@ -171,9 +171,6 @@
 		c.acceptor.mu.Lock()
 	}
 	c.httpReading = true
-	if c.receiving.element != nil {
-		_ = c.applyReadDeadline() // fails only on a closed connection, as the read then does
-	}
 	n := copy(p, c.buffered)
 	c.buffered = c.buffered[n:]
 	if len(c.buffered) == 0 {
--- a/internal/sidecar/clientturn.go
+++ b/internal/sidecar/clientturn.go
@@ -46,3 +46,35 @@
 	c.acceptor.pause(pause * time.Duration(pausing))
 	c.turn.requests = 0
 }
+
+// acceptTurn counts the connections that are accepted. Clients that connect again as soon as they are turned away keep
+// the acceptor from waiting, and the goroutines of their connections fill the run queue, in which those of other
+// connections then wait for seconds. The acceptor pauses after each turn. Only its goroutine uses acceptTurn.
+type acceptTurn struct {
+	conns     int
+	startedAt time.Time
+}
+
+const (
+	// connsPerTurn is how many connections are accepted before the acceptor pauses.
+	connsPerTurn = 16
+	// maxAcceptTurn is the longest turn after which it pauses: at a lower rate of connections it waits anyway.
+	maxAcceptTurn = 16 * time.Millisecond
+)
+
+// connAccepted counts a connection and returns how long to pause before the next one is accepted: as long as the
+// turn, if that has ended.
+func (t *acceptTurn) connAccepted(now time.Time) (pause time.Duration) {
+	if t.conns == 0 {
+		t.startedAt = now
+	}
+	t.conns++
+	if t.conns < connsPerTurn {
+		return 0
+	}
+	t.conns = 0
+	if turn := now.Sub(t.startedAt); turn <= maxAcceptTurn {
+		return max(turn, minTurnPause)
+	}
+	return 0
+}
--- a/internal/sidecar/clientturn_test.go
+++ b/internal/sidecar/clientturn_test.go
@@ -76,3 +76,54 @@
 	t.Cleanup(func() { server.Close() })
 	return listener.Addr().String()
 }
+
+// Clients that come again as soon as they are turned away keep the acceptor busy, and used to delay requests that
+// were already being served by seconds. At the usual rate of new connections it must not pause.
+func TestAcceptorPausesBetweenTurns(t *testing.T) {
+	for name, c := range map[string]struct {
+		interval time.Duration // between two connections
+		want     time.Duration // pause after a turn
+	}{
+		"at once":              {0, minTurnPause},
+		"at high rate":         {500 * time.Microsecond, (connsPerTurn - 1) * 500 * time.Microsecond},
+		"at a rate with waits": {2 * time.Millisecond, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var turn acceptTurn
+			now := time.Unix(1000, 0)
+			for n := 1; n <= 3*connsPerTurn; n++ {
+				want := time.Duration(0)
+				if n%connsPerTurn == 0 {
+					want = c.want
+				}
+				if got := turn.connAccepted(now); got != want {
+					t.Fatalf("pause of %v after connection %d, want %v", got, n, want)
+				}
+				now = now.Add(c.interval)
+			}
+		})
+	}
+}
+
+// While the process is short of CPU time, the goroutine of a connection may not have read a request that has arrived.
+// Such a connection must not be closed as an idle one.
+func TestConnectionWithUnreadRequestIsNotIdle(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAcceptor(l, 2)
+	defer a.Close()
+	client, unread := acceptClient(t, a)
+	_, idle := acceptClient(t, a)
+	write(t, client, rawRequest("unread"))
+	for end := time.Now().Add(testTimeout); !unread.hasUnreadBytes(); {
+		if time.Now().After(end) {
+			t.Fatal("the request does not arrive")
+		}
+	}
+	acceptClient(t, a)
+	if unread.closed || !idle.closed {
+		t.Errorf("connection with an unread request closed: %v, idle connection closed: %v, want false and true", unread.closed, idle.closed)
+	}
+}
--- a/internal/sidecar/receiving.go
+++ b/internal/sidecar/receiving.go
@@ -62,15 +62,11 @@
 
 // evictableAt returns the time from which the connection may be closed to admit another one.
 func (r *receiving) evictableAt() time.Time {
-	return earliest(r.progressAt.Add(minClientStall), r.startedAt.Add(maxReceiveAtLimit))
-}
-
-// earliest returns the earlier of two times, of which the zero time means none.
-func earliest(a, b time.Time) time.Time {
-	if a.IsZero() || !b.IsZero() && b.Before(a) {
-		return b
+	stalled, slow := r.progressAt.Add(minClientStall), r.startedAt.Add(maxReceiveAtLimit)
+	if slow.Before(stalled) {
+		return slow
 	}
-	return a
+	return stalled
 }
 
 // receivedBytes records that net/http has read a part of a request from the connection, and whether the request's
@@ -126,46 +122,29 @@
 // acceptor's lock.
 func (c *clientConn) keepReceiving(now time.Time) {
 	c.receiving.progressAt = now
-	if c.receiving.element == nil && !c.closed && c.closingElement == nil {
+	if c.closed || c.closingElement != nil {
+		return
+	}
+	if c.receiving.element == nil {
 		c.receiving.element = c.acceptor.receivingConns.PushBack(c)
-		c.acceptor.notifyCapacityFreed() // it may be the next to be evicted
 	}
+	c.readDeadline.setRequest(c.Conn, c.receiving.deadline(c.acceptor.receiveLimits))
 }
 
 // stopReceiving records that a request's head or body is complete, or that its connection is released. From
 // then on only net/http's deadline applies. The caller holds the acceptor's lock.
 func (c *clientConn) stopReceiving() {
-	if c.receiving.element == nil {
-		return
-	}
-	c.acceptor.receivingConns.Remove(c.receiving.element)
-	c.receiving.element = nil
-	if !c.evicted {
-		_ = c.Conn.SetReadDeadline(c.httpDeadline) // fails only on a closed connection
-	}
-}
-
-// SetReadDeadline is called only by net/http. A request that is being received has a deadline of its own, and
-// the earlier of the two applies.
-func (c *clientConn) SetReadDeadline(t time.Time) error {
-	c.acceptor.mu.Lock()
-	defer c.acceptor.mu.Unlock()
-	c.httpDeadline = t
-	return c.applyReadDeadline()
-}
-
-// applyReadDeadline sets the deadline of the socket. The caller holds the acceptor's lock.
-func (c *clientConn) applyReadDeadline() error {
-	if c.evicted {
-		return nil // keep the deadline in the past
-	}
-	deadline := c.httpDeadline
 	if c.receiving.element != nil {
-		deadline = earliest(deadline, c.receiving.deadline(c.acceptor.receiveLimits))
+		c.acceptor.receivingConns.Remove(c.receiving.element)
+		c.receiving.element = nil
+		c.readDeadline.setRequest(c.Conn, time.Time{})
 	}
-	return c.Conn.SetReadDeadline(deadline)
 }
 
+// SetReadDeadline is called only by net/http. While a request is being received, the earlier of this deadline and
+// that of the request applies.
+func (c *clientConn) SetReadDeadline(t time.Time) error { return c.readDeadline.setHTTP(c.Conn, t) }
+
 // evict ends the reception of an incomplete request to free its place or its memory: its Read fails with
 // errEvicted, after which the connection is closed. The caller holds the acceptor's lock.
 func (c *clientConn) evict() {
@@ -173,7 +152,7 @@
 	c.evicted = true
 	c.closeDelayed = true
 	c.stopReceiving()
-	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // fails only on a closed connection, as the read then does
+	c.readDeadline.pass(c.Conn)
 }
 
 // endEvicted ends a Read on an evicted connection with the error that it returns. Once the handler has been
@@ -211,14 +190,23 @@
 	return c.receiving.headRead
 }
 
-// nextEvictable returns the connection with an incomplete request that may be evicted first, and the time from
-// which it may be. It returns nil if no request is being received. The caller holds the lock.
-func (a *acceptor) nextEvictable() (next *clientConn, at time.Time) {
-	for element := a.receivingConns.Front(); element != nil; element = element.Next() {
+// evictStalled evicts connections with an incomplete request whose time has come, up to an eighth of the limit: each
+// is closed by its own goroutine, and while the process is short of CPU time that takes too long for one after the
+// other. It returns the time until the next one may be evicted, and whether a request is being received at all.
+// The caller holds the lock.
+func (a *acceptor) evictStalled() (retryAfter time.Duration, any bool) {
+	var due []*clientConn
+	retryAfter = maxReceiveAtLimit
+	for element := a.receivingConns.Front(); element != nil && len(due) <= a.maxConns/8; element = element.Next() {
 		c := element.Value.(*clientConn)
-		if t := c.receiving.evictableAt(); next == nil || t.Before(at) {
-			next, at = c, t
+		if wait := time.Until(c.receiving.evictableAt()); wait > 0 {
+			retryAfter = min(retryAfter, wait)
+		} else {
+			due = append(due, c)
 		}
 	}
-	return next, at
+	for _, c := range due {
+		c.evict()
+	}
+	return retryAfter, a.receivingConns.Len() > 0
 }
