Let connections to servers wait longer before reuse, and longer still after a late copy

Cause: nothing in a response names its request, and a connection was used again after 10 ms of silence. A copy on its way at that moment was read as the next response.

Change: 25 ms, and 50 ms for all connections once bytes have arrived on an idle one. A close is no such sign.

TestLateCopyMakesConnectionsWaitLonger is new: -race -count=50, passed; the case "second copy" can't hold before the change, as nothing was lengthened (not run there).

--- a/internal/sidecar/conn.go
+++ b/internal/sidecar/conn.go
@@ -24,25 +24,45 @@
 	return !res.Close && c.reader.Buffered() == 0
 }
 
-// connAlive reports whether an idle connection may be used. It may not if the server has closed or reset it,
-// as servers do at their idle timeout, when they drain and when they restart, or has sent unrequested bytes.
+// connState is the state of an idle connection.
+type connState int
+
+const (
+	connUsable   connState = iota // open, and nothing has arrived
+	connClosed                    // the server has closed or reset it, or its state is unreadable
+	connHasBytes                  // the server has sent unrequested bytes
+)
+
+// idleConnState returns the state of an idle connection. Servers close idle connections at their idle timeout, when
+// they drain and when they restart.
 //
 // It reads without blocking: EAGAIN means that the connection is open and nothing has arrived.
-func connAlive(c net.Conn) bool {
+func idleConnState(c net.Conn) connState {
 	tcp, ok := c.(*net.TCPConn)
 	if !ok {
-		return true // not a TCP connection, so its state is unknown
+		return connUsable // not a TCP connection, so its state is unknown
 	}
 	raw, err := tcp.SyscallConn()
 	if err != nil {
-		return false
+		return connClosed
 	}
-	alive := false
+	state := connClosed
 	err = raw.Read(func(fd uintptr) bool {
 		var b [1]byte
-		_, err := syscall.Read(int(fd), b[:])
-		alive = err == syscall.EAGAIN
+		n, err := syscall.Read(int(fd), b[:])
+		switch {
+		case err == syscall.EAGAIN:
+			state = connUsable
+		case err == nil && n > 0:
+			state = connHasBytes
+		}
 		return true // don't wait for data
 	})
-	return err == nil && alive
+	if err != nil {
+		return connClosed
+	}
+	return state
 }
+
+// connAlive reports whether an idle connection may be used.
+func connAlive(c net.Conn) bool { return idleConnState(c) == connUsable }
--- a/internal/sidecar/exchange.go
+++ b/internal/sidecar/exchange.go
@@ -144,10 +144,11 @@
 		if c == nil {
 			return t.dialReserved(x, to, writeDeadline)
 		}
-		if connAlive(c.Conn) {
+		state := idleConnState(c.Conn)
+		if state == connUsable {
 			return c, nil
 		}
-		t.discardStale(c)
+		t.discardStale(c, state)
 	}
 }
 
--- a/internal/sidecar/pool.go
+++ b/internal/sidecar/pool.go
@@ -11,8 +11,12 @@
 const (
 	// idleTimeoutMargin is the most by which the pool's idle timeout is shorter than the server's.
 	idleTimeoutMargin = time.Second
-	// minConnIdle is how long a connection must have been idle before it is reused: see acquire.
-	minConnIdle = 10 * time.Millisecond
+	// minConnIdle is how long a connection must have been idle before it is reused: see acquire. A second copy of
+	// a response may be some milliseconds late, and come over a link with jitter.
+	minConnIdle = 25 * time.Millisecond
+	// minConnIdleAfterCopy is that time once bytes have arrived on an idle connection. Servers of one service
+	// run the same program, so it then applies to all of them.
+	minConnIdleAfterCopy = 50 * time.Millisecond
 )
 
 // endpoint is one process of a server at an address. A server that appears at the address of a removed one, and a
@@ -147,10 +151,15 @@
 	p.unreserve()
 }
 
-// discardStale closes an acquired connection that is not alive, and counts it as stale.
-func (p *connPool) discardStale(c *conn) {
+// discardStale closes an acquired connection that may not be used, and counts it as stale. If that is because its
+// server has sent bytes on it, connections have to be idle for longer from now on: what has come late once may come
+// later the next time.
+func (p *connPool) discardStale(c *conn, state connState) {
 	p.mu.Lock()
 	p.staleConns++
+	if state == connHasBytes {
+		p.minIdle = max(p.minIdle, minConnIdleAfterCopy)
+	}
 	p.mu.Unlock()
 	p.discard(c)
 }
--- a/internal/sidecar/pool_test.go
+++ b/internal/sidecar/pool_test.go
@@ -130,6 +130,44 @@
 	}
 }
 
+// A server has sent a second copy of a response on an idle connection. Its next one may come later, when the
+// connection is in use again, and would be served to another client: connections must be idle for longer from then
+// on, to all servers. A server that closes an idle connection must not cause that.
+func TestLateCopyMakesConnectionsWaitLonger(t *testing.T) {
+	for name, c := range map[string]struct {
+		after func(c net.Conn) bool // what the server does after its response
+		want  time.Duration
+	}{
+		"second copy": {func(c net.Conn) bool { return respondOK(c, "done 1") }, minConnIdleAfterCopy},
+		"close":       {func(net.Conn) bool { return false }, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			proceed := make(chan struct{})
+			s := newStub(t, func(conn net.Conn, r receivedRequest) bool {
+				if !echo(conn, r) || r.connNumber > 0 {
+					return true
+				}
+				<-proceed // the response has been read, and the connection is idle
+				return c.after(conn)
+			})
+			tr := newTestTransport(t)
+			attempt(t, tr, s.endpoint, "1", testTimeout)
+			close(proceed)
+			for end := time.Now().Add(testTimeout); connAlive(tr.idle[s.endpoint][0].Conn); time.Sleep(time.Millisecond) {
+				if time.Now().After(end) {
+					t.Fatal("nothing arrives on the idle connection")
+				}
+			}
+			if got := attempt(t, tr, s.endpoint, "2", testTimeout); string(got.body) != "done 2" {
+				t.Errorf("result = %v, body = %q, want the response to request 2", got.result, got.body)
+			}
+			if tr.minIdle != c.want {
+				t.Errorf("connections are reused after %v, want %v", tr.minIdle, c.want)
+			}
+		})
+	}
+}
+
 // At the limit on connections, an idle connection to another server must be closed for a new one. If none is
 // idle, nothing must be sent, with a result that is no evidence about the server.
 func TestConnectionsStayUnderTheLimit(t *testing.T) {
