Buffer what a client sends at once within the budget, in place of disconnecting it

Cause: over 20 KiB behind a request in flight, a client counted as disconnected, and its request in flight was dropped.

Change: up to 256 KiB are buffered, all but 4 KiB of it from the budget for long requests. What the budget doesn't allow stays in the socket; a disconnect is then polled for every 50 ms.

Before the change TestManyPipelinedRequestsAreAnswered gets an unexpected EOF in both cases. New tests -race -count=50: passed.

--- a/internal/sidecar/acceptor.go
+++ b/internal/sidecar/acceptor.go
@@ -155,7 +155,7 @@
 
 // add registers a new connection. It counts as idle until its first byte is read.
 func (a *acceptor) add(raw net.Conn) *clientConn {
-	c := &clientConn{Conn: raw, acceptor: a, idleSince: time.Now()}
+	c := &clientConn{Conn: raw, acceptor: a, idleSince: time.Now(), bufferMemory: &memoryCharge{budget: a.longRequests}}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.openConns++
@@ -177,6 +177,7 @@
 	a.markActive(c)
 	c.stopReceiving()
 	c.receiving.releaseMemory()
+	c.bufferMemory.release()
 	if c.closingElement != nil {
 		a.closingConns.Remove(c.closingElement)
 		c.closingElement = nil
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -56,6 +56,7 @@
 	backgroundByteRead bool           // net/http's latest read was of one byte, as its background read is
 	monitor            *clientMonitor // of the request in flight; nil: no handler is waiting for a response
 	buffered           receiveBuffer  // bytes from the socket that net/http has yet to read; owned by the current reader
+	bufferMemory       *memoryCharge  // of buffered
 	boundary           requestBoundary
 	headArrivedAt      time.Time // when the last byte of the request's head was read from the socket; zero: not yet
 }
@@ -166,7 +167,11 @@
 		c.acceptor.mu.Lock()
 	}
 	c.httpReading = true
-	return c.buffered.read(p)
+	n, arrivedAt = c.buffered.read(p)
+	if c.buffered.length == 0 {
+		c.bufferMemory.returnAll()
+	}
+	return n, arrivedAt
 }
 
 // monitorMayRead reports whether net/http has stopped reading until the handler returns. The caller holds the
--- a/internal/sidecar/clientmonitor.go
+++ b/internal/sidecar/clientmonitor.go
@@ -11,9 +11,12 @@
 
 const (
 	// maxBufferedBytes limits the bytes buffered for a client. A client that sends more after its request in
-	// flight is disconnected: buffering more bytes would take up memory, and while bytes were left unread the
-	// client's disconnect could not be detected.
-	maxBufferedBytes = maxHeaderBytes + monitorReadBytes
+	// flight is disconnected: while bytes were left unread the client's disconnect could not be detected.
+	maxBufferedBytes = 256 << 10
+
+	// memoryRetryInterval is how often a monitor that lacks memory for further bytes tries again, and checks
+	// whether the client has disconnected.
+	memoryRetryInterval = 50 * time.Millisecond
 
 	// monitorReadBytes is the size of the monitor's read buffer.
 	monitorReadBytes = 4 << 10
@@ -98,6 +101,9 @@
 func (m *clientMonitor) readUntilDisconnect() {
 	buf := make([]byte, monitorReadBytes)
 	for {
+		if !m.awaitMemory() {
+			return
+		}
 		n, err := m.conn.Conn.Read(buf)
 		m.conn.buffered.add(buf[:n], time.Now())
 		select {
@@ -112,6 +118,27 @@
 	}
 }
 
+// awaitMemory waits until the budget for long requests allows to buffer further bytes. Until then they stay in the
+// socket, so that nothing is lost. It returns false if the monitor must end: stop was called, or the client has
+// disconnected.
+func (m *clientMonitor) awaitMemory() bool {
+	for {
+		long := m.conn.buffered.length + monitorReadBytes - shortRequestBytes
+		if m.conn.bufferMemory.reserveTotal(int64(long)) {
+			return true
+		}
+		select {
+		case <-m.quit:
+			return false
+		case <-time.After(memoryRetryInterval):
+		}
+		if m.remoteClosed() {
+			close(m.disconnected)
+			return false
+		}
+	}
+}
+
 // notifyMayRead makes run check whether the monitor may read. The caller holds the acceptor's lock.
 func (m *clientMonitor) notifyMayRead() {
 	select {
@@ -146,6 +173,11 @@
 		return true
 	default:
 	}
+	return m.remoteClosed()
+}
+
+// remoteClosed polls the socket for a close by the client.
+func (m *clientMonitor) remoteClosed() bool {
 	closed := false
 	err := m.conn.pollSocket(unix.POLLRDHUP, func(events int16) { closed = remoteClosed(events) })
 	// Any error but errNotSocket means that the connection is closed on this side.
--- a/internal/sidecar/clientmonitor_test.go
+++ b/internal/sidecar/clientmonitor_test.go
@@ -39,6 +39,24 @@
 	}
 }
 
+// A client has sent more behind its request than the memory budget allows to buffer, and disconnects. The bytes that
+// are left in the socket must not hide that.
+func TestClientDisconnectsBehindUnreadBytes(t *testing.T) {
+	s := newStub(t, echo)
+	l := newTestLoop(t, s.address)
+	l.updateEndpoints(t, "draining", s.address)
+	handler, address := serveClients(t, l)
+	handler.longRequests.used.Store(handler.longRequests.limit)
+	c := sendOnNewConn(t, address, rawRequest("gone")+strings.Repeat(rawRequest("behind"), 100))
+	l.runNextEvent(t) // the request is queued
+	c.Close()
+	l.runNextEvent(t) // the client's disconnect
+	l.updateEndpoints(t, "ready", s.address)
+	if len(l.requests) != 0 || len(s.receivedRequests) > 0 {
+		t.Errorf("%d requests in the table, server received %d, want none", len(l.requests), len(s.receivedRequests))
+	}
+}
+
 // A server rejects a request, and the client disconnects while the request waits for another server. There
 // must be no retry.
 func TestClientDisconnectsBetweenAttempts(t *testing.T) {
--- a/internal/sidecar/clients_test.go
+++ b/internal/sidecar/clients_test.go
@@ -80,6 +80,10 @@
 	"more bytes than may be buffered": func(t *testing.T, c *net.TCPConn) {
 		write(t, c, strings.Repeat("x", maxBufferedBytes+1+monitorReadBytes))
 	},
+	"close after half of the bytes that may be buffered": func(t *testing.T, c *net.TCPConn) {
+		write(t, c, strings.Repeat("x", maxBufferedBytes/2))
+		c.Close()
+	},
 }
 
 // afterPipelinedRequest makes a client send another request before it disconnects. net/http alone would not
--- a/internal/sidecar/memorybudget.go
+++ b/internal/sidecar/memorybudget.go
@@ -11,7 +11,7 @@
 // A client holds its part for as long as it takes to write the request, and there may be many such clients; a
 // server's response is received in one go.
 const (
-	shortRequestBytes  = 4 << 10  // of a request's head, once it is parsed, and again of its body
+	shortRequestBytes  = 4 << 10  // of a request's head once it is parsed, of its body, and of what waits behind it
 	shortResponseBytes = 64 << 10 // of a response's body
 )
 
@@ -67,12 +67,33 @@
 	return true
 }
 
-// release returns all bytes to the budget. It is called once the request's handler no longer uses the bodies.
-func (c *memoryCharge) release() {
+// reserveTotal takes bytes from the budget until the charge is at least the given total. It returns false, and takes
+// nothing, if the budget has too few left, or after release.
+func (c *memoryCharge) reserveTotal(total int64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	missing := max(0, total-c.bytes)
+	if c.released || !c.budget.reserve(missing) {
+		return false
+	}
+	c.bytes += missing
+	return true
+}
+
+// returnAll returns all bytes to the budget.
+func (c *memoryCharge) returnAll() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.budget.used.Add(-c.bytes)
-	c.bytes, c.released = 0, true
+	c.bytes = 0
+}
+
+// release returns all bytes to the budget, and ends the charge. It is called once the request's handler no longer uses the bodies.
+func (c *memoryCharge) release() {
+	c.returnAll()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.released = true
 }
 
 // bodyReader reads the body of a response within a limit on its size, and takes the memory for what exceeds
--- a/internal/sidecar/pipelining_test.go
+++ b/internal/sidecar/pipelining_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -144,3 +145,45 @@
 		}
 	}
 }
+
+// A client sends many requests at once, more than the sidecar reads in one go. It used to be disconnected without a
+// single response once more than 20 KiB stood behind its request in flight.
+func TestManyPipelinedRequestsAreAnswered(t *testing.T) {
+	const requests = 400
+	for name, budget := range map[string]bool{"within the memory budget": true, "while the budget is exhausted": false} {
+		t.Run(name, func(t *testing.T) {
+			release := make(chan struct{})
+			s := newStub(t, echoAfter(release, "r0"))
+			cfg, clk := testConfig(t, fullListResponse(1, "ready", s.address), nil), newClock()
+			l, err := newEventLoop(cfg, clk, newTransport(cfg, clk))
+			if err != nil {
+				t.Fatal(err)
+			}
+			go l.run(t.Context(), cfg.CachedEndpoints)
+			handler, address := serveClients(t, l)
+			if !budget {
+				handler.longRequests.used.Store(handler.longRequests.limit)
+			}
+			client := sendOnNewConn(t, address, rawRequest("r0"))
+			wait(t, "the first request", s.receivedRequests)
+			var text strings.Builder
+			for n := 1; n < requests; n++ {
+				text.WriteString(rawRequest(fmt.Sprint("r", n)))
+			}
+			if text.Len() <= 10*shortRequestBytes {
+				t.Fatalf("%d bytes behind the first request, want more than %d", text.Len(), 10*shortRequestBytes)
+			}
+			write(t, client, text.String())
+			close(release)
+			r := bufio.NewReader(client)
+			for range requests {
+				expectOK(t, r)
+			}
+			if budget {
+				if used := handler.longRequests.used.Load(); used != 0 {
+					t.Errorf("%d bytes are taken after the requests, want 0", used)
+				}
+			}
+		})
+	}
+}
