End no call to discovery before it can be answered

Cause: with six calls in flight the oldest was cancelled for each new one, so a call lasted for six intervals (1.5 s with a grace of 500 ms) and not for its timeout of 6 s.

Change: the oldest call is never cancelled. Among the others the one goes whose neighbours are closest in age, in proportion, so that calls of all ages stay in flight.

With the oldest cancelled as before TestSlowDiscoveryIsAnsweredBesideHedgedCalls fails for answers that take 1.8 and 2.5 s (no call is ever answered); with the change they are read at most 3.45 and 4.7 s after discovery has become reachable, 6 s allowed. -race -count=50: passed. Not tried: SIGHUPs 2 s apart beside a slow discovery.

--- a/internal/sidecar/discovery_hedge.go
+++ b/internal/sidecar/discovery_hedge.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"errors"
+	"math"
+	"slices"
 	"time"
 
 	"cranehatch/internal/endpointlist"
@@ -28,8 +30,8 @@
 	for {
 		select {
 		case r := <-h.results:
-			h.inFlight--
-			if r.err == nil || h.inFlight == 0 || errors.Is(r.err, errInvalidResponse) {
+			h.ended(r.call)
+			if r.err == nil || len(h.inFlight) == 0 || errors.Is(r.err, errInvalidResponse) {
 				return r.update, r.err
 			}
 		case <-hedge.C:
@@ -46,32 +48,63 @@
 	address  string
 	query    listQuery
 	results  chan callResult
-	inFlight int
-	cancels  []context.CancelFunc // cancel the latest calls, oldest first; a call may have ended already
+	inFlight []*hedgedCall // oldest first
+}
+
+// hedgedCall is one call of a fetch.
+type hedgedCall struct {
+	startedAt time.Time
+	cancel    context.CancelFunc
 }
 
 // callResult is the result of one call.
 type callResult struct {
+	call   *hedgedCall
 	update endpointlist.List
 	err    error
 }
 
 // start starts a call in a goroutine, which ends after callTimeout at the latest, or when ctx is cancelled;
-// in that case the result is discarded. At maxConcurrentCalls it first cancels the oldest call.
+// in that case the result is discarded. At maxConcurrentCalls it first cancels another one.
 func (h *hedgedCalls) start(ctx context.Context) {
-	if len(h.cancels) == maxConcurrentCalls {
-		h.cancels[0]()
-		h.cancels = h.cancels[1:]
+	now := time.Now()
+	if len(h.inFlight) == maxConcurrentCalls {
+		h.cancelOne(now)
 	}
 	callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-	h.cancels = append(h.cancels, cancel)
-	h.inFlight++
+	call := &hedgedCall{startedAt: now, cancel: cancel}
+	h.inFlight = append(h.inFlight, call)
 	go func() {
 		defer cancel()
 		update, err := h.client.call(callCtx, h.address, h.query)
 		select {
-		case h.results <- callResult{update, err}:
+		case h.results <- callResult{call, update, err}:
 		case <-ctx.Done():
 		}
 	}()
 }
+
+// ended removes a call that has ended.
+func (h *hedgedCalls) ended(call *hedgedCall) {
+	h.inFlight = slices.DeleteFunc(h.inFlight, func(c *hedgedCall) bool { return c == call })
+}
+
+// cancelOne cancels a call to make room for another one, and never the oldest: if discovery is slow, only a call
+// that lasts is ever answered. It keeps calls of all ages, so that there is also an old one among those that
+// started after discovery had become reachable: it cancels the call whose neighbours are closest in age, in
+// proportion.
+func (h *hedgedCalls) cancelOne(now time.Time) {
+	closest, smallest := 1, math.Inf(1)
+	for i := 1; i < len(h.inFlight); i++ {
+		younger := time.Duration(0) // the call that is about to start
+		if i+1 < len(h.inFlight) {
+			younger = now.Sub(h.inFlight[i+1].startedAt)
+		}
+		older := now.Sub(h.inFlight[i-1].startedAt)
+		if ratio := float64(older+h.client.hedgeInterval) / float64(younger+h.client.hedgeInterval); ratio < smallest {
+			closest, smallest = i, ratio
+		}
+	}
+	h.inFlight[closest].cancel()
+	h.inFlight = slices.Delete(h.inFlight, closest, closest+1)
+}
