Split what frees client connections from the acceptor, and say burst in place of turn

Turn is the picker's word in earlier names; requests and connections without a pause are a burst now.

--- a/internal/sidecar/acceptor.go
+++ b/internal/sidecar/acceptor.go
@@ -11,11 +11,6 @@
 	"time"
 )
 
-// minClientIdle is how long a connection must have been idle before it may be closed to admit another one.
-// With a longer time, clients that open a new connection for each request and leave the old ones open would
-// delay all others.
-const minClientIdle = 100 * time.Millisecond
-
 // acceptor is a listener that limits the number of open client connections. Without the limit, clients could
 // use up the file descriptors that connections to servers need, and Accept would fail with "too many open
 // files".
@@ -38,8 +33,8 @@
 	// randomRetryAfter returns the Retry-After of the response to an evicted client.
 	randomRetryAfter func() time.Duration
 
-	turn         acceptTurn
-	turnPause    time.Duration       // before the next connection is accepted
+	burst        acceptBurst
+	burstPause   time.Duration       // before the next connection is accepted
 	pausingConns atomic.Int64        // connections in requestAnswered's pause
 	pause        func(time.Duration) // time.Sleep, except in tests
 
@@ -74,8 +69,8 @@
 
 // Accept waits for a client to connect, and then until the limit allows one more open connection.
 func (a *acceptor) Accept() (net.Conn, error) {
-	if a.turnPause > 0 {
-		a.pause(a.turnPause)
+	if a.burstPause > 0 {
+		a.pause(a.burstPause)
 	}
 	raw, err := a.Listener.Accept()
 	if err != nil {
@@ -85,74 +80,10 @@
 		raw.Close()
 		return nil, net.ErrClosed
 	}
-	a.turnPause = a.turn.connAccepted(time.Now())
+	a.burstPause = a.burst.connAccepted(time.Now())
 	return a.add(raw), nil
 }
 
-// waitForCapacity waits until one more connection may be open. It returns false once the acceptor is closed.
-func (a *acceptor) waitForCapacity() bool {
-	for {
-		retryAfter, ok := a.makeCapacity()
-		if ok {
-			return true
-		}
-		select {
-		case <-a.capacityFreed:
-		case <-time.After(retryAfter):
-		case <-a.closed:
-			return false
-		}
-	}
-}
-
-// makeCapacity reports whether one more connection may be open, closing another connection if necessary. If
-// not, it returns the time to wait before the next try, unless capacityFreed has an item earlier.
-func (a *acceptor) makeCapacity() (retryAfter time.Duration, ok bool) {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	if a.openConns < a.maxConns {
-		return 0, true
-	}
-	if next := a.closingConns.Front(); next != nil {
-		a.closeForCapacity(next.Value.(*clientConn))
-		return 0, true
-	}
-	if retryAfter, ok = a.closeIdle(); ok {
-		return 0, true
-	}
-	if wait, any := a.evictStalled(); any {
-		retryAfter = min(retryAfter, wait)
-	}
-	return retryAfter, false
-}
-
-// closeIdle closes the connection that has been idle longest, if it has been idle for long enough. Otherwise it
-// returns the time until it may be closed. A connection on which a request has arrived is not idle, although its
-// goroutine may not have read it yet while the process is short of CPU time. The caller holds the lock.
-func (a *acceptor) closeIdle() (retryAfter time.Duration, ok bool) {
-	for range a.idleConns.Len() {
-		longestIdle := a.idleConns.Front()
-		c := longestIdle.Value.(*clientConn)
-		if retryAfter = minClientIdle - time.Since(c.idleSince); retryAfter > 0 {
-			return retryAfter, false
-		}
-		if !c.hasUnreadBytes() {
-			a.evictedIdle++
-			a.closeForCapacity(c)
-			return 0, true
-		}
-		c.idleSince = time.Now()
-		a.idleConns.MoveToBack(longestIdle)
-	}
-	return minClientIdle, false
-}
-
-// closeForCapacity closes a connection at once to admit another one. The caller holds the lock.
-func (a *acceptor) closeForCapacity(c *clientConn) {
-	a.release(c)
-	c.Conn.Close()
-}
-
 // add registers a new connection. It counts as idle until its first byte is read.
 func (a *acceptor) add(raw net.Conn) *clientConn {
 	c := &clientConn{Conn: raw, acceptor: a, idleSince: time.Now(), bufferMemory: &memoryCharge{budget: a.longRequests}}
@@ -222,14 +153,6 @@
 	}
 }
 
-// notifyCapacityFreed makes waitForCapacity check again.
-func (a *acceptor) notifyCapacityFreed() {
-	select {
-	case a.capacityFreed <- struct{}{}:
-	default:
-	}
-}
-
 // notifyAllClosed closes allClosed, unless drained has not been called or allClosed is closed already. The
 // caller holds the lock.
 func (a *acceptor) notifyAllClosed() {
--- a/internal/sidecar/clientturn_test.go
+++ b/internal/sidecar/burst_test.go
@@ -14,7 +14,7 @@
 // without a pause, and other clients got their answers seconds late. Clients that send one request at a time
 // must not be held up.
 func TestFloodOnOneConnectionPauses(t *testing.T) {
-	const requests = 4 * requestsPerTurn
+	const requests = 4 * maxBurstRequests
 	check := func(int) string { return readinessCheck }
 	get := func(n int) string { return strings.Replace(rawRequest(fmt.Sprint("r", n)), "20000m", "1u", 1) }
 	post := func(n int) string { return strings.Replace(postRequest(fmt.Sprint("r", n)), "20000m", "1u", 1) }
@@ -26,7 +26,7 @@
 	}{
 		"readiness checks at once":           {check, requests, http.StatusOK, 3},
 		"readiness checks one at a time":     {check, 1, http.StatusOK, 0},
-		"few readiness checks at a time":     {check, requestsPerTurn, http.StatusOK, 0},
+		"few readiness checks at a time":     {check, maxBurstRequests, http.StatusOK, 0},
 		"requests without time at once":      {get, requests, http.StatusServiceUnavailable, 3},
 		"requests with a body at once":       {post, requests, http.StatusServiceUnavailable, 3},
 		"requests with a body one at a time": {post, 1, http.StatusServiceUnavailable, 0},
@@ -52,8 +52,8 @@
 				t.Errorf("%d pauses, want %d", len(pauses), c.wantPauses)
 			}
 			for len(pauses) > 0 {
-				if d := <-pauses; d < minTurnPause || d > maxTurnPause {
-					t.Errorf("pause of %v on the only connection, want %v to %v", d, minTurnPause, maxTurnPause)
+				if d := <-pauses; d < minBurstPause || d > maxBurstPause {
+					t.Errorf("pause of %v on the only connection, want %v to %v", d, minBurstPause, maxBurstPause)
 				}
 			}
 		})
@@ -79,24 +79,24 @@
 
 // Clients that come again as soon as they are turned away keep the acceptor busy, and used to delay requests that
 // were already being served by seconds. At the usual rate of new connections it must not pause.
-func TestAcceptorPausesBetweenTurns(t *testing.T) {
+func TestAcceptorPausesBetweenBursts(t *testing.T) {
 	for name, c := range map[string]struct {
 		interval time.Duration // between two connections
-		want     time.Duration // pause after a turn
+		want     time.Duration // pause after a burst
 	}{
-		"at once":              {0, minTurnPause},
-		"at high rate":         {500 * time.Microsecond, (connsPerTurn - 1) * 500 * time.Microsecond},
+		"at once":              {0, minBurstPause},
+		"at high rate":         {500 * time.Microsecond, (maxBurstConns - 1) * 500 * time.Microsecond},
 		"at a rate with waits": {2 * time.Millisecond, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
-			var turn acceptTurn
+			var burst acceptBurst
 			now := time.Unix(1000, 0)
-			for n := 1; n <= 3*connsPerTurn; n++ {
+			for n := 1; n <= 3*maxBurstConns; n++ {
 				want := time.Duration(0)
-				if n%connsPerTurn == 0 {
+				if n%maxBurstConns == 0 {
 					want = c.want
 				}
-				if got := turn.connAccepted(now); got != want {
+				if got := burst.connAccepted(now); got != want {
 					t.Fatalf("pause of %v after connection %d, want %v", got, n, want)
 				}
 				now = now.Add(c.interval)
@@ -108,12 +108,7 @@
 // While the process is short of CPU time, the goroutine of a connection may not have read a request that has arrived.
 // Such a connection must not be closed as an idle one.
 func TestConnectionWithUnreadRequestIsNotIdle(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := newAcceptor(l, 2)
-	defer a.Close()
+	a := newTestAcceptor(t, 2)
 	client, unread := acceptClient(t, a)
 	_, idle := acceptClient(t, a)
 	write(t, client, rawRequest("unread"))
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -48,7 +48,7 @@
 
 	readDeadline readDeadline
 
-	turn clientTurn
+	burst requestBurst
 
 	closingElement *list.Element // in acceptor.closingConns; nil: not half-closed by Close, or already closed
 
@@ -132,7 +132,7 @@
 	if bodyLength < 0 {
 		bodyLength = math.MaxInt64 // such a request is rejected, and its connection closed
 	}
-	c.turn.countRequest(int64(c.buffered.length) > bodyLength)
+	c.burst.countRequest(int64(c.buffered.length) > bodyLength)
 	c.boundary.expectBody(bodyLength)
 	if bodyLength == 0 {
 		c.stopReceiving()
--- a/internal/sidecar/ingress_test.go
+++ b/internal/sidecar/ingress_test.go
@@ -208,6 +208,18 @@
 	}
 }
 
+// newTestAcceptor returns an acceptor on loopback that is closed at the end of the test.
+func newTestAcceptor(t *testing.T, maxConns int) *acceptor {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	a := newAcceptor(l, maxConns)
+	t.Cleanup(func() { a.Close() })
+	return a
+}
+
 // acceptClient connects a client and returns both ends of the connection, as the client and the acceptor see
 // it.
 func acceptClient(t *testing.T, a *acceptor) (client net.Conn, accepted *clientConn) {
@@ -227,12 +239,7 @@
 // A client connects at the limit. The acceptor must close an idle connection to admit it, not one whose
 // request has just been read.
 func TestAcceptorClosesOnlyIdleConnections(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := newAcceptor(l, 2)
-	defer a.Close()
+	a := newTestAcceptor(t, 2)
 	client, active := acceptClient(t, a)
 	_, idle := acceptClient(t, a)
 	if _, err := client.Write([]byte("x")); err != nil {
--- a/internal/sidecar/receiving.go
+++ b/internal/sidecar/receiving.go
@@ -192,24 +192,3 @@
 	defer c.acceptor.mu.Unlock()
 	return c.receiving.headRead
 }
-
-// evictStalled evicts connections with an incomplete request whose time has come, up to an eighth of the limit: each
-// is closed by its own goroutine, and while the process is short of CPU time that takes too long for one after the
-// other. It returns the time until the next one may be evicted, and whether a request is being received at all.
-// The caller holds the lock.
-func (a *acceptor) evictStalled() (retryAfter time.Duration, any bool) {
-	var due []*clientConn
-	retryAfter = maxReceiveAtLimit
-	for element := a.receivingConns.Front(); element != nil && len(due) <= a.maxConns/8; element = element.Next() {
-		c := element.Value.(*clientConn)
-		if wait := time.Until(c.receiving.evictableAt()); wait > 0 {
-			retryAfter = min(retryAfter, wait)
-		} else {
-			due = append(due, c)
-		}
-	}
-	for _, c := range due {
-		c.evict()
-	}
-	return retryAfter, a.receivingConns.Len() > 0
-}
--- a/internal/sidecar/receiving_test.go
+++ b/internal/sidecar/receiving_test.go
@@ -106,12 +106,7 @@
 
 // The time to receive a request must not begin anew with its body, nor with each of its bytes.
 func TestReceiveTimeoutCountsFromTheFirstByte(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := newAcceptor(l, 2)
-	defer a.Close()
+	a := newTestAcceptor(t, 2)
 	client, accepted := acceptClient(t, a)
 	head := requestHead("POST", "entry", "Content-Length: 10")
 	deadlineAfter := func(part string) time.Time {
@@ -144,12 +139,7 @@
 // The rest of a request arrives as its connection is evicted. The request must not be processed, as the client
 // is told that it was not.
 func TestEvictedRequestIsNotProcessed(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := newAcceptor(l, 2)
-	defer a.Close()
+	a := newTestAcceptor(t, 2)
 	client, accepted := acceptClient(t, a)
 	request := rawRequest("late")
 	write(t, client, request[:20])
@@ -194,12 +184,7 @@
 // net/http's background read returns the first byte of the next request before the handler of the current one is
 // called. It used to count as the first byte of the current one, whose arrival time and memory were forgotten.
 func TestBackgroundReadBelongsToTheNextRequest(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	a := newAcceptor(l, 2)
-	defer a.Close()
+	a := newTestAcceptor(t, 2)
 	client, accepted := acceptClient(t, a)
 	head := strings.Replace(rawRequest("current"), "\r\n\r\n", "\r\n"+manyFields(90, 100)+"\r\n", 1)
 	write(t, client, head+rawRequest("next"))
