Leave enough descriptors for the process where there are few

Cause: clients may have half of the descriptors and servers three eighths. The eighth that is left is 8 of 64, and the process needs more: six for the runtime and its streams, one for a connection that waits to be admitted, up to six for calls to discovery.

Change: servers get less than three eighths if that leaves fewer than 16 descriptors, but not less than a quarter. From 128 descriptors on nothing changes.

TestConnectionsLeaveDescriptors- ForTheProcess is new, -race -count=50: passed; with the old share it fails for 32, 64 and 96.

--- a/internal/sidecar/config.go
+++ b/internal/sidecar/config.go
@@ -159,6 +159,10 @@
 	// clientConnBytes is the part of the memory limit for each client connection. A connection with a request
 	// takes about a third of it; the rest is for attempts, bodies and garbage.
 	clientConnBytes = 80 << 10
+	// processDescriptors is what the process needs besides connections of clients and to servers: three standard
+	// streams, the listener, gossip, two of the Go runtime, a connection that waits to be admitted, and the calls to
+	// discovery that are in flight at once.
+	processDescriptors = 16
 	// idleProcessMB is the memory of a process without requests, in MiB.
 	idleProcessMB = 16
 )
@@ -179,8 +183,12 @@
 	return max(conns, c.MaxDescriptors/3)
 }
 
-// maxServerConns returns the limit on open connections to servers.
-func (c *Config) maxServerConns() int { return c.MaxDescriptors * 3 / 8 }
+// maxServerConns returns the limit on open connections to servers: three eighths of the descriptors, or less if that
+// leaves fewer than processDescriptors.
+func (c *Config) maxServerConns() int {
+	rest := c.MaxDescriptors - c.MaxDescriptors/2 - processDescriptors
+	return max(min(c.MaxDescriptors*3/8, rest), c.MaxDescriptors/4)
+}
 
 // maxTotalBodyBytes returns the limit on the total size of the request bodies in memory, and on that of the long
 // responses: each is an eighth of MemoryMB, or no limit if MemoryMB is 0.
--- a/internal/sidecar/config_test.go
+++ b/internal/sidecar/config_test.go
@@ -125,3 +125,18 @@
 		}
 	}
 }
+
+// With few descriptors, an eighth of them is less than the process itself needs. All connections together used to
+// take it over its limit then.
+func TestConnectionsLeaveDescriptorsForTheProcess(t *testing.T) {
+	for descriptors, want := range map[int]int{64: 16, 96: 32, 128: 48, 256: 96, 1024: 384, 32: 8} {
+		cfg := &Config{MaxDescriptors: descriptors}
+		if got := cfg.maxServerConns(); got != want {
+			t.Errorf("%d descriptors: %d connections to servers, want %d", descriptors, got, want)
+		}
+		rest := descriptors - cfg.maxServerConns() - cfg.maxClientConns()
+		if descriptors >= 64 && rest < processDescriptors {
+			t.Errorf("%d descriptors: %d are left for the process, want %d", descriptors, rest, processDescriptors)
+		}
+	}
+}
