Say once what memory a request starts with, and drop a result that decided nothing

ServeHTTP made a charge for each request and threw it away for the one of the connection, which had a fallback of its own: there is one now. evictStalled reported whether a request is being received, which made no difference, as its time is then longer than the other one.

--- a/internal/sidecar/burst.go
+++ b/internal/sidecar/burst.go
@@ -47,9 +47,10 @@
 	c.burst.requests = 0
 }
 
-// acceptBurst counts the connections that are accepted. Clients that connect again as soon as they are turned away keep
-// the acceptor from waiting, and the goroutines of their connections fill the run queue, in which those of other
-// connections then wait for seconds. The acceptor pauses after each burst. Only its goroutine uses acceptBurst.
+// acceptBurst counts the connections that are accepted. Clients that connect again as soon as they are rejected
+// keep the acceptor from waiting, and the goroutines of their connections fill the run queue, in which those of
+// other connections then wait for seconds. The acceptor pauses after each burst. Only its goroutine uses
+// acceptBurst.
 type acceptBurst struct {
 	conns     int
 	startedAt time.Time
--- a/internal/sidecar/clientcapacity.go
+++ b/internal/sidecar/clientcapacity.go
@@ -38,10 +38,7 @@
 	if retryAfter, ok = a.closeIdle(); ok {
 		return 0, true
 	}
-	if wait, any := a.evictStalled(); any {
-		retryAfter = min(retryAfter, wait)
-	}
-	return retryAfter, false
+	return min(retryAfter, a.evictStalled()), false
 }
 
 // closeIdle closes the connection that has been idle longest, if it has been idle for long enough. Otherwise it
@@ -81,21 +78,20 @@
 
 // evictStalled evicts connections with an incomplete request whose time has come, up to an eighth of the limit: each
 // is closed by its own goroutine, and while the process is short of CPU time that takes too long for one after the
-// other. It returns the time until the next one may be evicted, and whether a request is being received at all.
-// The caller holds the lock.
-func (a *acceptor) evictStalled() (retryAfter time.Duration, any bool) {
-	var due []*clientConn
+// other. It returns the time until the next one may be evicted, at most maxReceiveAtLimit. The caller holds the lock.
+func (a *acceptor) evictStalled() (retryAfter time.Duration) {
+	var stalled []*clientConn
 	retryAfter = maxReceiveAtLimit
-	for element := a.receivingConns.Front(); element != nil && len(due) <= a.maxConns/8; element = element.Next() {
+	for element := a.receivingConns.Front(); element != nil && len(stalled) <= a.maxConns/8; element = element.Next() {
 		c := element.Value.(*clientConn)
 		if wait := time.Until(c.receiving.evictableAt()); wait > 0 {
 			retryAfter = min(retryAfter, wait)
 		} else {
-			due = append(due, c)
+			stalled = append(stalled, c)
 		}
 	}
-	for _, c := range due {
+	for _, c := range stalled {
 		c.evict()
 	}
-	return retryAfter, a.receivingConns.Len() > 0
+	return retryAfter
 }
--- a/internal/sidecar/clientconn.go
+++ b/internal/sidecar/clientconn.go
@@ -124,7 +124,7 @@
 
 // headRead records that the handler was called for a request, before it reads the body, and sets the length of
 // the body. A negative length means that it is not known. headRead returns what the head takes from the budget
-// for long requests; from then on the handler owns it.
+// for long requests, or nil if that is not known; from then on the handler owns it.
 func (c *clientConn) headRead(bodyLength int64) *memoryCharge {
 	c.acceptor.mu.Lock()
 	defer c.acceptor.mu.Unlock()
@@ -140,9 +140,6 @@
 		c.keepReceiving(time.Now())
 	}
 	memory := c.receiving.memory
-	if memory == nil {
-		memory = &memoryCharge{budget: c.acceptor.longRequests}
-	}
 	c.receiving.memory = nil
 	return memory
 }
--- a/internal/sidecar/eventloop.go
+++ b/internal/sidecar/eventloop.go
@@ -136,8 +136,8 @@
 	slog.LogAttrs(context.Background(), slog.LevelInfo, "counters", l.counters()...)
 }
 
-// counters returns the counters of the Balancer, the client connections, the transport and gossip. Programs outside this one depend
-// on the keys: see docs/ARCHITECTURE.md.
+// counters returns the counters of the Balancer, the client connections, the transport and gossip. Programs
+// outside this one depend on the keys: see docs/ARCHITECTURE.md.
 func (l *eventLoop) counters() []slog.Attr {
 	return []slog.Attr{
 		policyCounters(l.balancer.Counters()),
--- a/internal/sidecar/ingress.go
+++ b/internal/sidecar/ingress.go
@@ -86,13 +86,17 @@
 	// The client's timeout starts when the client sends the request. The arrival time is therefore taken before
 	// the body is read. For a pipelined request it is the time at which its head was read from the socket,
 	// before the request waited for the response to the previous one.
-	arrived, memory := in.clock.now(), &memoryCharge{budget: in.longRequests}
+	arrived := in.clock.now()
+	var memory *memoryCharge // of the request
 	if c := clientConnFromContext(r.Context()); c != nil {
 		memory = c.headRead(r.ContentLength)
 		if t := c.requestArrivalTime(); !t.IsZero() {
 			arrived = min(arrived, in.clock.fromTime(t))
 		}
 	}
+	if memory == nil {
+		memory = &memoryCharge{budget: in.longRequests}
+	}
 	defer memory.release()
 	if isReadinessCheck(r) {
 		in.writeReadiness(w, r)
--- a/internal/sidecar/memorybudget.go
+++ b/internal/sidecar/memorybudget.go
@@ -88,7 +88,8 @@
 	c.bytes = 0
 }
 
-// release returns all bytes to the budget, and ends the charge. It is called once the request's handler no longer uses the bodies.
+// release returns all bytes to the budget, and ends the charge. It is called once the request's handler no longer
+// uses the bodies.
 func (c *memoryCharge) release() {
 	c.returnAll()
 	c.mu.Lock()
